Add the workspace, the base and config packages, and the adapter interfaces

Cause: the repository was empty; the parts need a build that enforces the package order and interfaces to be written against in parallel. Ruled out: one library target for all packages, because it cannot enforce an order. Before: nothing. Conclusion: the packages can be filled independently.

--- /dev/null
+++ b/cmake/Packages.cmake
@@ -0,0 +1,73 @@
+# Functions that declare the packages of the workspace and enforce the order of their dependencies.
+
+function(rhubarbtiller_package_order)
+    set_property(GLOBAL PROPERTY RHUBARBTILLER_PACKAGE_ORDER "${ARGN}")
+endfunction()
+
+function(rhubarbtiller_add_package_directory name)
+    if(EXISTS ${CMAKE_SOURCE_DIR}/packages/${name}/CMakeLists.txt)
+        add_subdirectory(packages/${name})
+    endif()
+endfunction()
+
+# Applies the compiler settings that every target of the project shares.
+function(rhubarbtiller_compile_settings target)
+    target_compile_options(${target} PRIVATE -Wall -Wextra -Wpedantic -Wshadow -Wnon-virtual-dtor -Woverloaded-virtual -Werror)
+    if(RHUBARBTILLER_SANITIZER)
+        target_compile_options(${target} PUBLIC -fsanitize=${RHUBARBTILLER_SANITIZER} -fno-omit-frame-pointer)
+        target_link_options(${target} PUBLIC -fsanitize=${RHUBARBTILLER_SANITIZER})
+    endif()
+endfunction()
+
+# rhubarbtiller_add_package(NAME <name> [DEPENDS <package>...] [LIBRARIES <library>...] [PRIVATE_LIBRARIES <library>...])
+# Builds packages/<name>/lib into the target rhubarbtiller_<name> and packages/<name>/unittests into a test of the same name.
+function(rhubarbtiller_add_package)
+    cmake_parse_arguments(ARG "" "NAME" "DEPENDS;LIBRARIES;PRIVATE_LIBRARIES;TEST_DEPENDS" ${ARGN})
+    get_property(order GLOBAL PROPERTY RHUBARBTILLER_PACKAGE_ORDER)
+    list(FIND order ${ARG_NAME} ownPosition)
+    if(ownPosition EQUAL -1)
+        message(FATAL_ERROR "package ${ARG_NAME} has no place in the package order")
+    endif()
+    set(dependencyTargets)
+    foreach(dependency IN LISTS ARG_DEPENDS)
+        list(FIND order ${dependency} position)
+        if(position EQUAL -1 OR NOT position LESS ownPosition)
+            message(FATAL_ERROR "package ${ARG_NAME} may not depend on ${dependency}: it does not come earlier in the package order")
+        endif()
+        list(APPEND dependencyTargets rhubarbtiller_${dependency})
+    endforeach()
+
+    set(target rhubarbtiller_${ARG_NAME})
+    file(GLOB_RECURSE sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/lib/*.cpp)
+    if(sources)
+        add_library(${target} STATIC ${sources})
+        target_include_directories(${target} PUBLIC
+            $<BUILD_INTERFACE:${CMAKE_CURRENT_SOURCE_DIR}/include>
+            $<INSTALL_INTERFACE:${CMAKE_INSTALL_INCLUDEDIR}>)
+        target_include_directories(${target} PRIVATE ${CMAKE_CURRENT_SOURCE_DIR}/lib)
+        target_link_libraries(${target} PUBLIC ${dependencyTargets} ${ARG_LIBRARIES} PRIVATE ${ARG_PRIVATE_LIBRARIES})
+        rhubarbtiller_compile_settings(${target})
+    else()
+        add_library(${target} INTERFACE)
+        target_include_directories(${target} INTERFACE
+            $<BUILD_INTERFACE:${CMAKE_CURRENT_SOURCE_DIR}/include>
+            $<INSTALL_INTERFACE:${CMAKE_INSTALL_INCLUDEDIR}>)
+        target_link_libraries(${target} INTERFACE ${dependencyTargets} ${ARG_LIBRARIES})
+    endif()
+    if(NOT ARG_NAME STREQUAL testing)
+        install(TARGETS ${target} EXPORT rhubarbtiller ARCHIVE DESTINATION ${CMAKE_INSTALL_LIBDIR})
+        install(DIRECTORY include/ DESTINATION ${CMAKE_INSTALL_INCLUDEDIR})
+    endif()
+
+    if(RHUBARBTILLER_TESTS)
+        file(GLOB tests CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/unittests/*.cpp)
+        if(tests)
+            set(testTarget ${ARG_NAME}_tests)
+            add_executable(${testTarget} ${tests} ${CMAKE_SOURCE_DIR}/cmake/testmain.cpp)
+            target_include_directories(${testTarget} PRIVATE ${CMAKE_SOURCE_DIR}/packages/testing/include)
+            target_link_libraries(${testTarget} PRIVATE ${target} rapidcheck ${ARG_TEST_DEPENDS})
+            rhubarbtiller_compile_settings(${testTarget})
+            add_test(NAME ${ARG_NAME}_tests COMMAND ${testTarget})
+        endif()
+    endif()
+endfunction()
--- /dev/null
+++ b/packages/http/include/rhubarbtiller/http/httpserver.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <rhubarbtiller/base/clock.h>
+#include <rhubarbtiller/base/result.h>
+#include <rhubarbtiller/base/strongid.h>
+#include <rhubarbtiller/base/strongnumber.h>
+#include <rhubarbtiller/http/httpmessage.h>
+
+#include <functional>
+#include <memory>
+
+namespace rhubarbtiller::http {
+
+/// Answers one request of a caller.
+class Responder
+{
+public:
+    Responder() = default;
+    Responder(const Responder &) = delete;
+    Responder &operator=(const Responder &) = delete;
+    virtual ~Responder() = default;
+
+    /// Sends the response. Precondition: not called before for this request. Thread safety: any thread.
+    virtual void respond(HttpResponse response) = 0;
+
+    /// Has \p handler called, on a thread of the server, if the caller's connection closes before the response.
+    ///
+    /// Precondition: called at most once. Thread safety: any thread.
+    virtual void onDisconnect(std::function<void()> handler) = 0;
+};
+
+/// Receives the requests that a server has read whole and found well-formed.
+class RequestHandler
+{
+public:
+    RequestHandler() = default;
+    RequestHandler(const RequestHandler &) = delete;
+    RequestHandler &operator=(const RequestHandler &) = delete;
+    virtual ~RequestHandler() = default;
+
+    /// Takes a request; answers through \p responder, at once or later. Thread safety: called from several threads.
+    virtual void onRequest(HttpRequest request, std::shared_ptr<Responder> responder) = 0;
+};
+
+/// The bounds that keep one caller from hurting others.
+struct ServerLimits
+{
+    ByteCount maxHeader{16 * 1024};
+    ByteCount maxBody{1024 * 1024};
+    std::uint32_t maxConnections = 2000;
+    std::uint32_t maxPipelinedRequests = 1;
+    /// A request that has not been read whole by this time after its first byte is refused.
+    std::chrono::milliseconds readTimeLimit{10000};
+    std::chrono::milliseconds idleTimeLimit{60000};
+};
+
+/// Accepts HTTP connections at one address.
+class HttpServer
+{
+public:
+    HttpServer() = default;
+    HttpServer(const HttpServer &) = delete;
+    HttpServer &operator=(const HttpServer &) = delete;
+    virtual ~HttpServer() = default;
+
+    /// Binds the address and begins to accept. Precondition: not started before. Thread safety: one thread.
+    virtual Status start() = 0;
+
+    /// Returns the address with the port that was bound. Precondition: started. Thread safety: any thread.
+    virtual Endpoint boundAddress() const = 0;
+
+    /// Closes the listening socket; open connections live on, and every response from now on closes its connection.
+    ///
+    /// Precondition: started. Thread safety: any thread.
+    virtual void stopAccepting() = 0;
+
+    /// Closes everything. Precondition: none. Thread safety: one thread.
+    virtual void stop() = 0;
+};
+
+} // namespace rhubarbtiller::http
--- /dev/null
+++ b/packages/telemetry/include/rhubarbtiller/telemetry/log.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <cstdint>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+namespace rhubarbtiller::telemetry {
+
+enum class LogLevel {
+    Debug,
+    Info,
+    Warning,
+    Error,
+};
+
+/// One key=value pair of a log line.
+struct LogField
+{
+    LogField(std::string_view fieldName, std::string_view text);
+    LogField(std::string_view fieldName, const char *text);
+    LogField(std::string_view fieldName, const std::string &text);
+    LogField(std::string_view fieldName, std::int64_t number);
+    LogField(std::string_view fieldName, std::uint64_t number);
+    LogField(std::string_view fieldName, int number);
+    LogField(std::string_view fieldName, unsigned number);
+    LogField(std::string_view fieldName, double number);
+    LogField(std::string_view fieldName, bool flag);
+
+    std::string_view name;
+    std::string value;
+};
+
+/// Writes one line "time=... level=... event=... key=value ..." to standard error.
+///
+/// Values with spaces, quotes or control characters are quoted and escaped, so a value cannot forge a line.
+/// Precondition: \p event is a constant word. Thread safety: any thread.
+void logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields = {});
+
+/// Sets the lowest level that is written. Precondition: none. Thread safety: any thread.
+void setLogLevel(LogLevel level);
+
+} // namespace rhubarbtiller::telemetry
