--- a/packages/config/include/rhubarbtiller/config/rows.h
+++ b/packages/config/include/rhubarbtiller/config/rows.h
@@ -108,6 +108,7 @@
     Incarnation incarnation;
     Endpoint callerAddress;
     Endpoint peerAddress;
+    Endpoint operatorAddress;
     FailureDomainId failureDomain;
     HostState state = HostState::Active;
 
--- a/packages/config/lib/rowcodec.cpp
+++ b/packages/config/lib/rowcodec.cpp
@@ -170,6 +170,7 @@
     host.incarnation = Incarnation(reader.integer("incarnation", std::nullopt, 0, UINT64_MAX));
     host.callerAddress = Endpoint(reader.endpoint("callerAddress"));
     host.peerAddress = Endpoint(reader.endpoint("peerAddress"));
+    host.operatorAddress = Endpoint(reader.endpoint("operatorAddress"));
     host.failureDomain = FailureDomainId(reader.requiredText("failureDomain"));
     host.state = reader.choice("state", "active", {"active", "leaving"}) == "active" ? HostState::Active : HostState::Leaving;
     reader.finish();
@@ -182,6 +183,7 @@
             {"incarnation", host.incarnation.count()},
             {"callerAddress", host.callerAddress.text()},
             {"peerAddress", host.peerAddress.text()},
+            {"operatorAddress", host.operatorAddress.text()},
             {"failureDomain", host.failureDomain.text()},
             {"state", host.state == HostState::Active ? "active" : "leaving"}};
 }
--- a/packages/config/unittests/codectest.cpp
+++ b/packages/config/unittests/codectest.cpp
@@ -20,8 +20,13 @@
     route.pool = pool.name;
     const Organisation organisation{OrganisationId("north"), RequestRate(12.5), RequestCount(30)};
     const KeyGrant grant{KeyDigest("ab12"), KeyName("north-1"), organisation.id};
-    const Host host{
-        HostId("h1"), Incarnation(7), Endpoint("127.0.0.1:1"), Endpoint("127.0.0.1:2"), FailureDomainId("a"), HostState::Leaving};
+    const Host host{HostId("h1"),
+                    Incarnation(7),
+                    Endpoint("127.0.0.1:1"),
+                    Endpoint("127.0.0.1:2"),
+                    Endpoint("127.0.0.1:3"),
+                    FailureDomainId("a"),
+                    HostState::Leaving};
     FleetParameters fleet;
     fleet.witnesses = {host.id};
     return Change{ConfigVersion(1),
--- a/packages/peer/peer.thrift
+++ b/packages/peer/peer.thrift
@@ -23,6 +23,8 @@
   4: list<i32> wanted
   5: list<i32> released
   6: EvidenceVector evidence
+  7: i64 sequence
+  8: bool hearsReplies
 }
 
 struct VoteReply {
@@ -110,12 +112,21 @@
   3: list<i32> failures
   4: i32 medianLatencyMicros
   5: i32 slowAnswers
-  6: bool wantsEjection
+  6: i32 failuresInRow
+}
+
+// A server that the sender holds an ejection lease for.
+struct HeldEjection {
+  1: string server
+  2: bool isInForce
 }
 
 struct ServerReport {
   1: string pool
   2: list<ServerSample> samples
+  3: list<HeldEjection> held
+  // The epoch of the pool owner that the sender last read in a reply; 0 for none.
+  4: i64 knownEpoch
 }
 
 struct EjectionGrant {
@@ -124,9 +135,16 @@
   3: string evidence
 }
 
+struct ServerWeightAdvice {
+  1: string server
+  2: i32 weightPermille
+}
+
 struct EjectionReply {
   1: bool isPoolOwner
   2: list<EjectionGrant> grants
+  3: list<ServerWeightAdvice> weights
+  4: i64 epoch
 }
 
 struct ConfigRequest {
