--- a/packages/membership/include/rhubarbtiller/membership/freshness.h
+++ b/packages/membership/include/rhubarbtiller/membership/freshness.h
@@ -66,7 +66,7 @@
 {
 public:
     /// Creates the lease of a host that has just started and knows nothing. Precondition: none.
-    FreshnessLease(HostId self, MonotonicTime startedAt);
+    FreshnessLease(HostId ownId, MonotonicTime startTime);
 
     /// Takes a consistent read of the head of the change log, made by this host itself.
     ///
@@ -146,12 +146,11 @@
         MonotonicTime learnedAt;
     };
 
-    void addEvidence(TimeOfVersion &known, ConfigVersion version, MonotonicTime at) const;
+    static void addEvidence(TimeOfVersion &known, ConfigVersion version, MonotonicTime at);
     void learnFromWitnesses();
     void updateMajority(MonotonicTime now);
-    bool isOwnReportIn(const std::vector<HostId> &witnesses) const;
     ConfigVersion majorityVersion(const std::vector<HostId> &witnesses, MonotonicTime now) const;
-    MonotonicTime witnessMajorityTime(MonotonicTime now) const;
+    std::optional<MonotonicTime> witnessMajorityTime(MonotonicTime now) const;
 
     HostId self;
     MonotonicTime startedAt;
--- a/packages/membership/include/rhubarbtiller/membership/votes.h
+++ b/packages/membership/include/rhubarbtiller/membership/votes.h
@@ -53,7 +53,7 @@
 {
 public:
     /// Creates the guardian of a host that has just started. Precondition: none.
-    VoteGuardian(HostId self, MonotonicTime startedAt);
+    VoteGuardian(HostId ownId, MonotonicTime startedAt);
 
     /// Takes the placement of a version that this host has applied.
     ///
@@ -98,8 +98,8 @@
         std::map<HostId, Candidate> candidates;
     };
 
-    void endReleased(const VoteRequest &request, ShardId shard, MonotonicTime now);
-    bool mayAct(ShardId shard, const Freshness &freshness, MonotonicTime now) const;
+    void endReleased(const VoteRequest &request, ShardId shard);
+    bool mayAct(const Duty &duty, const Freshness &freshness, MonotonicTime now) const;
     bool grant(const VoteRequest &request, ShardId shard, const Freshness &freshness, MonotonicTime now);
     bool isPreferredAsking(const Duty &duty, ShardId shard, const HostId &holder, MonotonicTime now) const;
 
@@ -119,7 +119,7 @@
 {
 public:
     /// Creates the holder of a host that has just started. Precondition: none.
-    VoteHolder(HostId self, Incarnation incarnation);
+    VoteHolder(HostId ownId, Incarnation ownIncarnation);
 
     /// Takes the placement of a version that this host has applied; drops the votes of shards whose guardians change.
     ///
@@ -181,7 +181,7 @@
     };
 
     bool isCurrent(const Freshness &freshness, MonotonicTime now) const;
-    void drop(Claim &claim);
+    void drop(Claim &claim) const;
 
     HostId self;
     Incarnation incarnation;
