--- a/packages/membership/include/rhubarbtiller/membership/freshness.h
+++ b/packages/membership/include/rhubarbtiller/membership/freshness.h
@@ -58,8 +58,9 @@
 /// a read of the store, or reports of exactly this version by a majority of its witnesses. Evidence of any other version
 /// does not count; evidence of a newer version is kept and counts once that version is applied.
 ///
-/// The proof needs one rule from the writer of changes: a change of the witnesses may be written as version v+1 only
-/// when v is settled, and must then set previousWitnesses to the witnesses of v.
+/// The proof needs two rules from the writer of changes. A change of the witnesses may be written as version v+1 only when v
+/// is settled, and must then set previousWitnesses to the witnesses of v. The previous witnesses may be cleared as v+1 only
+/// when v is settled; they should be, because their majority is needed until then.
 ///
 /// Thread safety: one thread.
 class FreshnessLease
--- a/packages/membership/include/rhubarbtiller/membership/placement.h
+++ b/packages/membership/include/rhubarbtiller/membership/placement.h
@@ -33,6 +33,12 @@
 /// and the others stay. Precondition: host ids are unique. Thread safety: any thread.
 std::vector<HostId> chooseWitnesses(const std::vector<config::Host> &hosts, std::size_t count = WitnessCount);
 
+/// Returns whether a majority of the witnesses, and one of the previous witnesses, stays in the roster without \p leaving.
+///
+/// Evidence comes only from hosts of the roster. A change that takes a majority of the witnesses out of it could never be
+/// settled, and neither could the change that replaces the witnesses. Precondition: none. Thread safety: any thread.
+bool keepsWitnessMajority(const config::Snapshot &snapshot, const HostId &leaving);
+
 /// Assigns shards to guardian hosts, and organisations, pools and backend servers to shards.
 ///
 /// Guardians are chosen by rendezvous hashing, in different failure domains where there are enough of them. Only the
@@ -65,7 +71,10 @@
     /// Returns the shards that \p host guards, in rising order. Precondition: none.
     const std::vector<ShardId> &shardsOf(const HostId &host) const;
 
-    /// Returns the hosts that guard some shard together with \p host, without \p host itself, sorted. Precondition: none.
+    /// Returns the hosts that \p host exchanges evidence with, without itself, sorted; empty if it is not in the roster.
+    ///
+    /// These are the hosts that guard some shard together with it, and its two neighbours on a ring of all hosts. The ring
+    /// connects hosts that guard nothing; the relation is symmetric, so every host is asked as well. Precondition: none.
     std::vector<HostId> peersOf(const HostId &host) const;
 
     /// Returns the shard of a slice of an organisation. Precondition: \p slice is below its slice count.
@@ -89,6 +98,8 @@
     /// For each shard the failure domain of the first guardian.
     std::vector<FailureDomainId> firstDomains;
     std::map<HostId, std::vector<ShardId>> guardedShards;
+    /// All hosts in the order of a hash.
+    std::vector<HostId> ring;
 };
 
 } // namespace rhubarbtiller::membership
--- a/packages/membership/include/rhubarbtiller/membership/votes.h
+++ b/packages/membership/include/rhubarbtiller/membership/votes.h
@@ -126,14 +126,17 @@
     /// Each version must be passed; a gap drops all votes. Precondition: as VoteGuardian::onPlacement().
     void onPlacement(ConfigVersion version, std::shared_ptr<const Placement> placement);
 
-    /// Returns the guardians to ask, including this host itself if it is one. Precondition: none.
-    std::vector<HostId> guardiansToAsk() const;
+    /// Returns the hosts to send a request to once a second: Placement::peersOf(), and this host itself as a guardian.
+    ///
+    /// Precondition: none.
+    std::vector<HostId> peersToAsk() const;
 
-    /// Makes the next request to \p guardian: all shards that both guard, unless this host is releasing.
+    /// Makes the next request to \p peer, for all shards that both guard.
     ///
-    /// Returns nothing if there is nothing to say. Each call makes a new request; send it once.
+    /// A request without shards is still to be sent, because evidence travels with it. Nothing is asked for while this host
+    /// holds no freshness lease or after releaseAll(). Each call makes a new request; send it once.
     /// Precondition: \p freshness is the state of this host's lease at \p now.
-    std::optional<VoteRequest> requestFor(const HostId &guardian, const Freshness &freshness, MonotonicTime now);
+    VoteRequest requestFor(const HostId &peer, const Freshness &freshness, MonotonicTime now);
 
     /// Takes the reply to \p request, which was sent to \p guardian at \p sentAt.
     ///
--- a/packages/membership/lib/hash.h
+++ b/packages/membership/lib/hash.h
@@ -15,6 +15,7 @@
     BackendServer = 4,
     Witness = 5,
     WitnessDomain = 6,
+    Ring = 7,
 };
 
 /// Returns the hash of a name for one kind of use and one number, such as a shard or a slice.
--- a/packages/membership/lib/placement.cpp
+++ b/packages/membership/lib/placement.cpp
@@ -59,6 +59,25 @@
     return witnesses;
 }
 
+static bool keepsMajority(const std::vector<HostId> &witnesses, const config::Snapshot &snapshot, const HostId &leaving)
+{
+    const auto staying = static_cast<std::size_t>(std::ranges::count_if(witnesses, [&](const HostId &witness) {
+        return witness != leaving && snapshot.hosts().contains(witness);
+    }));
+    return witnesses.empty() || staying > witnesses.size() / 2;
+}
+
+bool keepsWitnessMajority(const config::Snapshot &snapshot, const HostId &leaving)
+{
+    const auto &fleet = snapshot.fleetParameters();
+    return keepsMajority(fleet.witnesses, snapshot, leaving) && keepsMajority(fleet.previousWitnesses, snapshot, leaving);
+}
+
+static std::pair<std::uint64_t, HostId> ringPosition(const HostId &host)
+{
+    return {hashOf(HashKind::Ring, host.text()), host};
+}
+
 static std::map<HostId, FailureDomainId> guardianHosts(const config::Snapshot &snapshot)
 {
     std::map<HostId, FailureDomainId> hosts;
@@ -127,6 +146,10 @@
         }
         placement->guardianTable.push_back(std::move(guardians));
     }
+    for (const auto &[id, domain] : placement->hosts) {
+        placement->ring.push_back(id);
+    }
+    std::ranges::sort(placement->ring, {}, ringPosition);
     return placement;
 }
 
@@ -154,6 +177,11 @@
     for (const auto shard : this->shardsOf(host)) {
         peers.insert(this->guardians(shard).begin(), this->guardians(shard).end());
     }
+    if (const auto position = std::ranges::lower_bound(this->ring, ringPosition(host), {}, ringPosition);
+        position != this->ring.end() && *position == host) {
+        peers.insert(position + 1 == this->ring.end() ? this->ring.front() : *(position + 1));
+        peers.insert(position == this->ring.begin() ? this->ring.back() : *(position - 1));
+    }
     peers.erase(host);
     return {peers.begin(), peers.end()};
 }
--- a/packages/membership/lib/votes.cpp
+++ b/packages/membership/lib/votes.cpp
@@ -195,14 +195,16 @@
     this->placement = std::move(nextPlacement);
 }
 
-std::vector<HostId> VoteHolder::guardiansToAsk() const
+std::vector<HostId> VoteHolder::peersToAsk() const
 {
-    if (!this->placement || this->claims.empty()) {
+    if (!this->placement) {
         return {};
     }
-    auto guardians = this->placement->peersOf(this->self);
-    guardians.push_back(this->self);
-    return guardians;
+    auto peers = this->placement->peersOf(this->self);
+    if (!this->claims.empty()) {
+        peers.push_back(this->self);
+    }
+    return peers;
 }
 
 bool VoteHolder::isCurrent(const Freshness &freshness, MonotonicTime now) const
@@ -210,25 +212,22 @@
     return freshness.version == this->version && freshness.holds(now);
 }
 
-std::optional<VoteRequest> VoteHolder::requestFor(const HostId &guardian, const Freshness &freshness, MonotonicTime now)
+VoteRequest VoteHolder::requestFor(const HostId &peer, const Freshness &freshness, MonotonicTime now)
 {
     VoteRequest request;
     const bool mayAsk = !this->isReleasing && this->isCurrent(freshness, now);
     for (const auto &[shard, claim] : this->claims) {
-        if (std::ranges::find(claim.toTell, guardian) != claim.toTell.end()) {
+        if (std::ranges::find(claim.toTell, peer) != claim.toTell.end()) {
             request.released.push_back(shard);
-        } else if (mayAsk && std::ranges::find(claim.guardians, guardian) != claim.guardians.end()) {
+        } else if (mayAsk && std::ranges::find(claim.guardians, peer) != claim.guardians.end()) {
             request.wanted.push_back(shard);
         }
     }
-    if (request.wanted.empty() && request.released.empty()) {
-        return std::nullopt;
-    }
     request.holder = this->self;
     request.incarnation = this->incarnation;
     request.configVersion = this->version;
     request.sequence = ++this->lastSequence;
-    const auto heard = this->lastHeard.find(guardian);
+    const auto heard = this->lastHeard.find(peer);
     request.hearsReplies = heard != this->lastHeard.end() && now < heard->second + VoteLeaseDuration;
     return request;
 }
