Implement server slots, evidence, outlier detection and the ejection budget

Slots: a success counts as warm-up only for the time under load before it, with a margin of 25% for the time on the network. A plain latency threshold as restart sign was ruled out because routes of different cost alternate in one pool; a jump must also exceed the upper latencies of the recent answers. A restart of an idle server leaves no sign, so the cold limit holds after 500 ms without requests until a success of usual latency. Budget: a lease counts until lease / (1 - drift) after its grant, since the slowest holder may keep it that long. A fixed renewal right for all leases was ruled out: after a withdrawn domain all ejections would stay.

--- a/packages/health/include/rhubarbtiller/health/ejectionbudget.h
+++ b/packages/health/include/rhubarbtiller/health/ejectionbudget.h
@@ -93,14 +93,12 @@
 private:
     struct Granted
     {
-        MonotonicTime firstGrantedAt;
         std::uint64_t order = 0;
         MonotonicTime countedUntil;
     };
 
-    double healthySlots(MonotonicTime now, std::uint64_t upToOrder, const BackendServerId *added) const;
+    double healthySlots(std::uint64_t order, const BackendServerId &added) const;
     double totalSlots() const;
-    bool contains(const BackendServerId &server) const;
 
     PoolOwnerEpoch ownEpoch;
     PoolCapacity capacity;
--- a/packages/health/include/rhubarbtiller/health/errors.h
+++ b/packages/health/include/rhubarbtiller/health/errors.h
@@ -13,6 +13,7 @@
     DeadlinePassed,
     /// The caller gave up while the request was waiting.
     Cancelled,
+    /// The pool has no such server in service.
     UnknownServer,
     /// The ejection would take the pool below its floor.
     FloorReached,
--- a/packages/health/include/rhubarbtiller/health/evidence.h
+++ b/packages/health/include/rhubarbtiller/health/evidence.h
@@ -67,6 +67,7 @@
     ServerSample current;
     std::vector<Duration> latencies;
     std::deque<Duration> previousMedians;
+    Duration usualLatency{};
     std::deque<ServerSample> complete;
     std::uint32_t failureRun = 0;
 };
--- a/packages/health/include/rhubarbtiller/health/outlierdetector.h
+++ b/packages/health/include/rhubarbtiller/health/outlierdetector.h
@@ -64,16 +64,32 @@
         HoldTime hold;
     };
 
-    struct Test
+    /// The result of one test.
+    struct Finding
     {
         /// Common logarithm of the tail probability; 0 is no evidence.
         double logProbability = 0;
         std::string evidence;
     };
 
+    /// Sums over several servers.
+    struct PoolCounts
+    {
+        Counts counts;
+        std::uint64_t slowAnswers = 0;
+        /// Servers that mostly succeed, for each bucket.
+        std::array<std::size_t, EvidenceBuckets> soundServers{};
+        /// Median of the servers' latencies in nanoseconds.
+        double latency = 0;
+    };
+
     std::int64_t periodIndex(MonotonicTime now) const;
     Counts sum(const Server &server, std::int64_t first, std::int64_t last) const;
-    Test test(std::size_t subject, const std::vector<Counts> &subjects, const std::vector<Counts> &rests, double poolLatency) const;
+    PoolCounts poolCounts(std::int64_t first, std::int64_t last) const;
+    void include(const Counts &counts, PoolCounts &pool, int sign) const;
+    std::uint64_t slowAnswers(const Counts &counts, double poolLatency) const;
+    Finding testFailures(const Counts &subject, const PoolCounts &rest) const;
+    Finding testLatency(const Counts &subject, const PoolCounts &rest) const;
 
     double sensitivity;
     OutlierSettings settings;
--- a/packages/health/include/rhubarbtiller/health/serverslots.h
+++ b/packages/health/include/rhubarbtiller/health/serverslots.h
@@ -28,6 +28,14 @@
     Duration leastLatencyJump = std::chrono::milliseconds(20);
     /// Slow answers in a row that make a jump; a single one is common on a warm server.
     std::uint32_t slowAnswersForJump = 2;
+    /// After this long without a running request the server may have restarted unseen: the cold limit holds until the
+    /// next success of usual latency. A restart that takes less time than this may stay unseen on an idle server.
+    Duration idleBeforeCheck = std::chrono::milliseconds(500);
+    /// A request counts as load here for longer than at the server, by its time on the network; the slow start takes this
+    /// much longer than the pool's warm-up time.
+    double warmUpMargin = 1.25;
+    /// How much faster than the clock of this host the clock of the previous owner may run.
+    double drift = 0.034;
     /// Successes with one request at a time before a returning server gets its cold limit.
     std::uint32_t probesAfterEjection = 3;
 };
@@ -66,8 +74,6 @@
 struct SlotHandOver
 {
     SlotCount limit;
-    /// Progress of the slow start, 0 to 1.
-    double warmth = 0;
     /// Requests that still run at the old owner.
     SlotCount running;
     /// How long the last of them may take from the moment of the handover.
@@ -109,16 +115,18 @@
     /// Starts to act for a server that its previous owner handed over.
     ///
     /// Requests that still run at the previous owner use up slots until they must have ended.
-    /// Precondition: the previous owner made \p handOver by handOver() no earlier than \p handedOverAt of this clock.
+    /// Precondition: \p handOver was made by the direct previous owner; a copy that was delayed past another
+    /// change of owner must be dropped by the caller.
     void receive(const BackendServerId &server,
                  const config::Pool &pool,
                  const SlotHandOver &handOver,
-                 MonotonicTime handedOverAt,
                  MonotonicTime ownedUntil,
                  MonotonicTime now);
 
-    /// Moves the deadline of the ownership. Precondition: the votes are held until \p ownedUntil without a gap.
-    void extendOwnership(const BackendServerId &server, MonotonicTime ownedUntil);
+    /// Moves the deadline of the ownership forward; returns false if it had passed, so that takeOver() is needed.
+    ///
+    /// Precondition: the votes are held until \p ownedUntil.
+    bool extendOwnership(const BackendServerId &server, MonotonicTime ownedUntil, MonotonicTime now);
 
     /// Takes over changed values of the pool. Precondition: none.
     void reconfigure(const BackendServerId &server, const config::Pool &pool, MonotonicTime now);
@@ -146,10 +154,15 @@
     /// Precondition: the request has ended at this host. A second call for the same lease changes nothing.
     void release(const SlotLease &lease, SlotOutcome outcome, Duration latency, MonotonicTime now);
 
+    /// Counts a sign of a restart outside of requests, such as the loss of all idle connections. Precondition: none.
+    void noteRestartSign(const BackendServerId &server, MonotonicTime now);
+
     /// Lets a server return from ejection: single probing requests first, then a slow start. Precondition: none.
     void returnFromEjection(const BackendServerId &server, MonotonicTime now);
 
-    /// Refuses waiting requests past their deadline and grants slots that became free by time. Precondition: none.
+    /// Refuses waiting requests past their deadline and grants slots that became free by time.
+    ///
+    /// Precondition: called at least once a second, since it also forgets idle organisations.
     void advance(MonotonicTime now);
 
     /// Returns when advance() has something to do next, if nothing else happens. Precondition: none.
