--- a/packages/limits/include/rhubarbtiller/limits/borrowing.h
+++ b/packages/limits/include/rhubarbtiller/limits/borrowing.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <rhubarbtiller/base/clock.h>
+#include <rhubarbtiller/base/random.h>
 #include <rhubarbtiller/base/strongid.h>
 #include <rhubarbtiller/base/strongnumber.h>
 #include <rhubarbtiller/limits/tokenbucket.h>
@@ -15,13 +16,13 @@
 
 namespace rhubarbtiller::limits {
 
-/// Identifies one loan call of one run of this host.
+/// Identifies one loan call; random, so that it is not repeated after a restart.
 using LoanCallId = StrongNumber<struct LoanCallIdTag, std::uint64_t>;
 
 /// When and how much to borrow.
 struct BorrowSettings
 {
-    /// A reply is used only this long after the call was made; lenders pass at least the same time to RateShares::lend().
+    /// A reply is used only this long after the call was made; lenders pass this time plus the clock drift to RateShares::lend().
     Duration loanTime = std::chrono::milliseconds(50);
     /// Bounds the loan calls of this host.
     std::uint32_t maxCallsPerSecond = 20;
@@ -59,7 +60,9 @@
 class TokenBorrower
 {
 public:
-    explicit TokenBorrower(const BorrowSettings &settings);
+    /// Precondition: \p random outlives this object. Its numbers make the call ids, so that a reply to a call of an earlier
+    /// run of the process is not taken for one of this run.
+    TokenBorrower(const BorrowSettings &settings, RandomSource &random);
 
     /// Counts a refusal of a slice and returns the call to make, if any.
     ///
@@ -96,10 +99,10 @@
     bool allowsCall(MonotonicTime now);
 
     const BorrowSettings settings;
+    RandomSource &random;
     mutable std::mutex mutex;
     std::map<std::pair<OrganisationId, std::uint32_t>, SliceState> slices;
     std::unordered_map<LoanCallId, LoanCall> pending;
-    std::uint64_t lastCallId = 0;
     /// Empty time of the bucket that bounds the calls.
     MonotonicTime nextCallAt{};
 };
--- a/packages/limits/include/rhubarbtiller/limits/expiringindex.h
+++ b/packages/limits/include/rhubarbtiller/limits/expiringindex.h
@@ -86,32 +86,34 @@
     /// Removes the entries for which \p retire (called with slot and value) returns true and returns their number.
     ///
     /// Precondition: \p retire made the value unusable for good where it returns true; the caller is in no read-side
-    /// critical section. Thread safety: any thread; waits for a grace period if there is something to remove.
+    /// critical section. Thread safety: any thread; waits for two grace periods if there is something to remove.
     template<class Retire>
     std::size_t removeIf(Retire retire)
     {
         const std::lock_guard lock(this->removal);
-        std::vector<std::unique_ptr<Node>> removed;
+        std::vector<std::pair<std::size_t, Node *>> retired;
         for (std::size_t i = 0; i < this->slots.size(); ++i) {
-            Node *previous = nullptr;
-            Node *node = this->slots[i].load(std::memory_order_acquire);
-            while (node) {
-                Node *next = node->next.load(std::memory_order_acquire);
-                if (!retire(i, *node->value)) {
-                    previous = node;
-                    node = next;
-                    continue;
+            for (Node *node = this->slots[i].load(std::memory_order_acquire); node; node = node->next.load(std::memory_order_acquire)) {
+                if (retire(i, *node->value)) {
+                    retired.emplace_back(i, node);
                 }
-                previous = this->unlink(this->slots[i], previous, node, next);
-                removed.emplace_back(node);
-                node = next;
             }
         }
-        if (!removed.empty()) {
-            this->entryCount.fetch_sub(removed.size(), std::memory_order_relaxed);
-            waitForRcuReaders();
+        if (retired.empty()) {
+            return 0;
         }
-        return removed.size();
+        // An insertion that read the chain before a retired node came must fail on it. Without this grace period the
+        // chain could look unchanged to that insertion, and it would use what its value was made from in the meantime.
+        waitForRcuReaders();
+        for (const auto &[slot, node] : retired) {
+            unlink(this->slots[slot], node);
+        }
+        waitForRcuReaders();
+        for (const auto &[slot, node] : retired) {
+            delete node;
+        }
+        this->entryCount.fetch_sub(retired.size(), std::memory_order_relaxed);
+        return retired.size();
     }
 
 private:
@@ -137,21 +139,18 @@
         return nullptr;
     }
 
-    // Returns the node before the removed one, which an insertion may have put there in the meantime.
-    static Node *unlink(std::atomic<Node *> &slot, Node *previous, Node *node, Node *next)
+    static void unlink(std::atomic<Node *> &slot, Node *node)
     {
-        if (!previous) {
-            Node *expected = node;
-            if (slot.compare_exchange_strong(expected, next, std::memory_order_acq_rel, std::memory_order_acquire)) {
-                return nullptr;
-            }
-            previous = expected;
-            while (previous->next.load(std::memory_order_acquire) != node) {
-                previous = previous->next.load(std::memory_order_acquire);
-            }
+        Node *next = node->next.load(std::memory_order_acquire);
+        Node *previous = node;
+        if (slot.compare_exchange_strong(previous, next, std::memory_order_acq_rel, std::memory_order_acquire)) {
+            return;
+        }
+        // Insertions change only the slot itself, so the chain behind its first node stands still during a removal.
+        while (previous->next.load(std::memory_order_acquire) != node) {
+            previous = previous->next.load(std::memory_order_acquire);
         }
         previous->next.store(next, std::memory_order_release);
-        return previous;
     }
 
     std::vector<std::atomic<Node *>> slots;
--- a/packages/limits/include/rhubarbtiller/limits/overload.h
+++ b/packages/limits/include/rhubarbtiller/limits/overload.h
@@ -60,6 +60,7 @@
 
     /// Reports a delay that the host itself caused, for example the wait for its event loop.
     ///
+    /// The limit falls when even the shortest delay of an interval is above the target: then there is a standing queue.
     /// Precondition: none. Thread safety: any thread, lock-free.
     void onHostDelay(Duration delay, MonotonicTime now);
 
@@ -87,7 +88,8 @@
     std::atomic<std::int64_t> total{0};
     std::atomic<std::int64_t> activeOrganisations{0};
     std::atomic<std::uint32_t> concurrencyLimit;
-    std::atomic<std::int64_t> longestDelay{0};
+    /// The shortest delay since the last change of the limit.
+    std::atomic<std::int64_t> shortestDelay;
     std::atomic<std::int64_t> nextAdaptation{0};
 };
 
--- a/packages/limits/include/rhubarbtiller/limits/rateshares.h
+++ b/packages/limits/include/rhubarbtiller/limits/rateshares.h
@@ -85,7 +85,7 @@
 
     /// Tells that the limit or the slices of an organisation changed, so that slices without an entry accrue from \p now on.
     ///
-    /// Precondition: called when the changed configuration is published on this host. Thread safety: any thread, lock-free.
+    /// Precondition: called just before the changed configuration is published on this host. Thread safety: any thread, lock-free.
     void onLimitChanged(const OrganisationId &organisation, MonotonicTime now);
 
     /// Removes the buckets that are full and were not used for \p idleTime; returns the number of removed entries.
--- a/packages/limits/include/rhubarbtiller/limits/retrybudget.h
+++ b/packages/limits/include/rhubarbtiller/limits/retrybudget.h
@@ -26,7 +26,7 @@
 class SlidingCount
 {
 public:
-    /// Precondition: \p window is at least 10 ns.
+    /// Precondition: \p window is at least 1 s, so that the period numbers fit into 32 bits for years.
     explicit SlidingCount(Duration window);
 
     /// Counts an event and returns the slot period that it was counted in. Precondition: none. Thread safety: any thread.
@@ -40,7 +40,7 @@
     std::uint64_t sum(MonotonicTime now) const;
 
 private:
-    static constexpr std::size_t SlotCount = 11;
+    static constexpr std::size_t SlotCount = 10;
 
     const Duration slotTime;
     /// Period number in the upper and count in the lower 32 bits.
@@ -96,11 +96,14 @@
         }
 
         RetryBudget budget;
-        std::atomic<bool> isRetired{false};
+        /// The users of the entry in the lower 16 bits and the uses so far above them; all bits set once the entry is retired.
+        ///
+        /// The removal exchanges the value it read before it found the budget idle, so no count is lost in between.
+        std::atomic<std::uint64_t> uses{0};
     };
 
     template<class Use>
-    auto withBudget(const PoolName &pool, Use use);
+    bool withBudget(const PoolName &pool, Use use);
 
     const RetryBudgetSettings settings;
     ExpiringIndex<PoolName, Entry> budgets;
--- a/packages/limits/include/rhubarbtiller/limits/tokenbucket.h
+++ b/packages/limits/include/rhubarbtiller/limits/tokenbucket.h
@@ -40,8 +40,10 @@
 class TokenBucket
 {
 public:
-    /// Makes a bucket that is empty at \p emptyTime and accrues from then on. Precondition: none.
-    TokenBucket(const TokenLimit &limit, MonotonicTime emptyTime);
+    /// Makes a bucket that is empty at \p emptyTime, accrues from then on, and accepts no token back that was taken before \p madeAt.
+    ///
+    /// Precondition: none.
+    TokenBucket(const TokenLimit &limit, MonotonicTime emptyTime, MonotonicTime madeAt);
 
     TokenBucket(const TokenBucket &) = delete;
     TokenBucket &operator=(const TokenBucket &) = delete;
@@ -83,15 +85,20 @@
     /// Returns whether the bucket is full and was not used for \p idleTime. Precondition: none. Thread safety: any thread.
     bool isIdle(Duration idleTime, MonotonicTime now) const;
 
-    /// Ends the bucket and returns its empty time, or nothing if it was closed before. Precondition: none. Thread safety: any thread.
-    std::optional<MonotonicTime> close();
+    /// Returns the empty time; MonotonicTime::max() for a closed bucket. Precondition: none. Thread safety: any thread.
+    MonotonicTime emptyTime() const;
+
+    /// Ends the bucket if its empty time still is \p expected and returns whether it did. Precondition: none. Thread safety: any thread,
+    /// lock-free.
+    bool closeIf(MonotonicTime expected);
 
     /// Returns whether the bucket was closed; a closed bucket has no tokens. Precondition: none. Thread safety: any thread.
     bool isClosed() const;
 
     /// Returns the empty time of a bucket with the limit \p next that holds the tokens of one with \p previous, or fewer.
     ///
-    /// This is how rate and capacity change: close(), convert, and make a new bucket. Precondition: none. Thread safety: any thread.
+    /// This is how rate and capacity change: convert the empty time, closeIf(), and make a new bucket. Precondition: none. Thread safety:
+    /// any thread.
     static MonotonicTime emptyTimeAfterChange(const TokenLimit &previous,
                                               MonotonicTime emptyTime,
                                               const TokenLimit &next,
@@ -100,11 +107,13 @@
 
 private:
     const TokenLimit tokenLimit;
-    std::atomic<std::int64_t> emptyTime;
+    std::atomic<std::int64_t> emptyAt;
     /// The last take that found the bucket more than half full; a token taken before is not accepted back.
     std::atomic<std::int64_t> lastMoreThanHalfFull;
     /// How far tokens given back moved the empty time since then.
     std::atomic<std::int64_t> givenBack{0};
+    /// Tokens that this bucket lent may arrive elsewhere until this time; a credit before is dropped.
+    std::atomic<std::int64_t> lentUntil;
 };
 
 } // namespace rhubarbtiller::limits
