Add the HTTP server and client adapters

Cause: the request pipeline and the platform adapters need HTTP on Asio with whole responses only, requests that are never repeated silently, and framing that cannot be read in two ways.

Ruled out: * RESTinio's own acceptor: it stops for good after the first failed accept, and it closes its acceptor on another executor than it accepts on. The server accepts by itself and uses RESTinio's connection objects. * Checking framing after RESTinio's parse: http_parser accepts line folding, bare line feeds and trailers, and RESTinio joins folded values, so the bytes are checked below RESTinio, in the socket type. * Trusting libcurl 7.88 with reuse: a GET, POST or PATCH on a reused connection that closes is repeated by libcurl, and bytes after a chunked or bodyless response leave the connection in the pool.

Change: makeCurlHttpClient() (multi socket interface on one strand; a second attempt is refused in the pre-request callback, so mayHaveBeenSent is false only if no connection was made) and makeRestinioServer() (strict framing, refusals with 400, 408, 413 or 431, disconnect reports, bounded connections, responses framed by the server).

--- /dev/null
+++ b/packages/http/lib/guardedsocket.h
@@ -0,0 +1,184 @@
+#pragma once
+
+#include "requestframing.h"
+
+#include <rhubarbtiller/http/httpserver.h>
+
+#include <asio/any_io_executor.hpp>
+#include <asio/associated_executor.hpp>
+#include <asio/bind_executor.hpp>
+#include <asio/error.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <array>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+
+namespace rhubarbtiller::http {
+
+/// One accepted connection, below RESTinio's own connection object.
+///
+/// Thread safety: the executor of the connection, unless a method says otherwise.
+class AcceptedConnection : public std::enable_shared_from_this<AcceptedConnection>
+{
+public:
+    AcceptedConnection(asio::ip::tcp::socket accepted, const ServerLimits &serverLimits);
+    AcceptedConnection(const AcceptedConnection &) = delete;
+    AcceptedConnection &operator=(const AcceptedConnection &) = delete;
+    ~AcceptedConnection();
+
+    /// Sets the executor that all work of the connection runs on. Precondition: called before any other method.
+    void setExecutor(asio::any_io_executor connectionExecutor);
+
+    /// Returns the executor of the connection. Thread safety: any thread after setExecutor().
+    asio::any_io_executor executor() const;
+
+    /// Has \p handler called when RESTinio lets go of the connection, and \p gone when the socket is closed.
+    void onEnd(std::function<void()> handler, std::function<void()> gone);
+
+    /// Notes that RESTinio is about to read, and bounds the wait.
+    void beginRead();
+
+    /// Checks bytes that were read; returns the error to give to RESTinio instead of them, if any.
+    std::error_code endRead(std::error_code error, std::string_view bytes);
+
+    /// Marks that RESTinio is handling what was read.
+    void setHandlingRead(bool isHandling);
+
+    /// Notes that RESTinio handed a request over.
+    void onRequestDispatched();
+
+    /// Notes that a response was written or given up.
+    void onResponseWritten();
+
+    /// Lets RESTinio go: sends a refusal if one is due and closes the socket after the caller has read it.
+    void release();
+
+    /// Breaks the connection off. Thread safety: any thread.
+    void abort();
+
+    /// Has \p handler called if the connection ends first; returns its number. Thread safety: any thread.
+    std::uint64_t addDisconnectHandler(std::function<void()> handler);
+
+    /// Drops a handler. Thread safety: any thread.
+    void removeDisconnectHandler(std::uint64_t number);
+
+    /// Runs \p work now or when earlier requests of the connection have been answered.
+    void enqueue(std::function<void()> work, std::size_t maxConcurrent);
+
+    bool isReleased = false;
+    asio::ip::tcp::socket socket;
+
+private:
+    void updateTimer();
+    void onTimer();
+    void sendContinue();
+    void lingerAfter(std::string text);
+    void drain();
+    void closeNow();
+    void startQueued();
+
+    const ServerLimits limits;
+    RequestFraming framing;
+    asio::steady_timer timer;
+    asio::any_io_executor strand;
+    std::function<void()> endHandler;
+    std::function<void()> goneHandler;
+    std::chrono::steady_clock::time_point requestDeadline;
+    std::uint64_t timerGeneration = 0;
+    std::uint64_t dispatched = 0;
+    std::uint64_t answered = 0;
+    std::uint64_t readTotal = 0;
+    int refusal = 0;
+    bool isReading = false;
+    bool isHandlingRead = false;
+    bool hasTimedOut = false;
+    bool isPeerGone = false;
+    std::string outgoing;
+    std::array<char, 4096> discarded{};
+    std::deque<std::function<void()>> queued;
+    std::size_t running = 0;
+    std::size_t maxRunning = 1;
+
+    std::mutex disconnectMutex;
+    bool hasEnded = false;
+    std::uint64_t nextDisconnectHandler = 1;
+    std::map<std::uint64_t, std::function<void()>> disconnectHandlers;
+};
+
+/// The socket type that RESTinio reads and writes through; passes only bytes on that the framing check accepted.
+class GuardedSocket
+{
+public:
+    using executor_type = asio::any_io_executor; // NOLINT(readability-identifier-naming): name given by Asio's stream requirements
+
+    explicit GuardedSocket(std::shared_ptr<AcceptedConnection> accepted) : connection(std::move(accepted))
+    {
+    }
+
+    // NOLINTBEGIN(readability-identifier-naming): names given by Asio's stream requirements
+    executor_type get_executor()
+    {
+        return this->connection->socket.get_executor();
+    }
+
+    asio::ip::tcp::socket &lowest_layer()
+    {
+        return this->connection->socket;
+    }
+
+    bool is_open() const
+    {
+        return !this->connection->isReleased;
+    }
+
+    template<class Buffer, class Handler>
+    void async_read_some(const Buffer &buffer, Handler &&handler)
+    {
+        this->connection->beginRead();
+        const auto handlerExecutor = asio::get_associated_executor(handler);
+        const auto *data = static_cast<const char *>(buffer.data());
+        this->connection->socket.async_read_some(
+            buffer,
+            asio::bind_executor(
+                handlerExecutor,
+                [owner = this->connection, data, next = std::forward<Handler>(handler)](std::error_code error, std::size_t size) mutable {
+                    error = owner->endRead(error, std::string_view(data, size));
+                    owner->setHandlingRead(true);
+                    next(error, error ? 0 : size);
+                    owner->setHandlingRead(false);
+                }));
+    }
+
+    template<class Buffers, class Handler>
+    auto async_write_some(const Buffers &buffers, Handler &&handler)
+    {
+        return this->connection->socket.async_write_some(buffers, std::forward<Handler>(handler));
+    }
+    // NOLINTEND(readability-identifier-naming)
+
+    /// Stops reading. Writes that are under way are stopped as well, as with any socket.
+    void cancel(std::error_code &error)
+    {
+        this->connection->socket.cancel(error);
+    }
+
+    /// Does nothing: close() decides whether the caller still gets a refusal.
+    void shutdown(asio::socket_base::shutdown_type, std::error_code &)
+    {
+    }
+
+    void close()
+    {
+        this->connection->release();
+    }
+
+private:
+    std::shared_ptr<AcceptedConnection> connection;
+};
+
+} // namespace rhubarbtiller::http
--- /dev/null
+++ b/packages/http/unittests/httpservertest.cpp
@@ -0,0 +1,450 @@
+#include <rhubarbtiller/http/errors.h>
+#include <rhubarbtiller/http/restinioserver.h>
+
+#include "testnetwork.h"
+
+using namespace rhubarbtiller;
+using namespace rhubarbtiller::http;
+
+namespace {
+
+/// Answers at once with the request's method, target and body, or keeps requests to "/hold" until the test answers.
+class EchoHandler : public RequestHandler
+{
+public:
+    void onRequest(HttpRequest request, std::shared_ptr<Responder> responder) override
+    {
+        ++this->requests;
+        if (request.target == "/hold") {
+            responder->onDisconnect([this] {
+                ++this->disconnects;
+            });
+            const std::lock_guard lock(this->mutex);
+            this->held.push_back(std::move(responder));
+            return;
+        }
+        responder->respond(HttpResponse{200, {{"X-Echo", "yes"}}, request.method + " " + request.target + " " + request.body});
+    }
+
+    std::shared_ptr<Responder> takeHeld()
+    {
+        const std::lock_guard lock(this->mutex);
+        auto responder = this->held.empty() ? nullptr : this->held.front();
+        if (responder) {
+            this->held.erase(this->held.begin());
+        }
+        return responder;
+    }
+
+    std::atomic<int> requests{0};
+    std::atomic<int> disconnects{0};
+
+private:
+    std::mutex mutex;
+    std::vector<std::shared_ptr<Responder>> held;
+};
+
+class ServerFixture
+{
+public:
+    explicit ServerFixture(const ServerLimits &limits = {})
+        : server(makeRestinioServer(this->running.context, Endpoint("127.0.0.1:0"), limits, this->handler))
+    {
+        REQUIRE_FALSE(this->server->start());
+    }
+
+    ~ServerFixture()
+    {
+        this->server.reset();
+        this->running.stop();
+    }
+
+    Endpoint address() const
+    {
+        return this->server->boundAddress();
+    }
+
+    // Declared first: responders that the handler still holds need the context.
+    RunningContext running;
+    EchoHandler handler;
+    std::unique_ptr<HttpServer> server;
+};
+
+} // namespace
+
+static int statusOf(const std::string &response)
+{
+    return response.size() > 12 ? std::stoi(response.substr(9, 3)) : 0;
+}
+
+// Guards against a server that loses or mixes requests of one connection.
+TEST_CASE("server answers requests on a kept connection in their order")
+{
+    ServerFixture fixture;
+    RawClient client(fixture.address());
+    client.send("GET /a?b=c HTTP/1.1\r\nHost: x\r\n\r\nPOST /b HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nbody"
+                "PUT /c HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nch\r\n4\r\nunks\r\n0\r\n\r\n");
+    const std::string text = client.readResponses(3);
+    const auto first = text.find("GET /a?b=c ");
+    const auto second = text.find("POST /b body");
+    const auto third = text.find("PUT /c chunks");
+    CHECK(first < second);
+    CHECK(second < third);
+    CHECK(third != std::string::npos);
+    CHECK(fixture.handler.requests == 3);
+}
+
+// Guards against request smuggling: framing that another HTTP implementation may read differently (I2, I8).
+TEST_CASE("server refuses malformed and ambiguous framing without handing the request on")
+{
+    const std::string host = "Host: x\r\n";
+    const std::vector<std::string> requests = {
+        "POST / HTTP/1.1\r\n" + host + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "POST / HTTP/1.1\r\n" + host + "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n0\r\n\r\n",
+        "POST / HTTP/1.1\r\n" + host + "Content-Length: 4\r\nContent-Length: 4\r\n\r\nbody",
+        "POST / HTTP/1.1\r\n" + host + "Content-Length: 4\r\nContent-Length: 5\r\n\r\nbody",
+        "POST / HTTP/1.1\r\n" + host + "Content-Length: 4, 4\r\n\r\nbody",
+        "POST / HTTP/1.1\r\n" + host + "Content-Length: +4\r\n\r\nbody",
+        "POST / HTTP/1.1\r\n" + host + "Content-Length: 0x4\r\n\r\nbody",
+        "POST / HTTP/1.1\r\n" + host + "Content-Length: \r\n\r\nbody",
+        "POST / HTTP/1.1\r\n" + host + "Content-Length: 99999999999999999999999\r\n\r\nbody",
+        "POST / HTTP/1.1\r\n" + host + "Content-Length : 4\r\n\r\nbody",
+        "POST / HTTP/1.1\r\n" + host + "Content-Length\t: 4\r\n\r\nbody",
+        "POST / HTTP/1.1\r\n" + host + "Transfer-Encoding : chunked\r\n\r\n0\r\n\r\n",
+        "POST / HTTP/1.1\r\n" + host + "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n",
+        "POST / HTTP/1.1\r\n" + host + "Transfer-Encoding: identity\r\n\r\n",
+        "POST / HTTP/1.1\r\n" + host + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+        "POST / HTTP/1.1\r\n" + host + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "POST / HTTP/1.0\r\n" + host + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "POST / HTTP/1.1\r\n" + host + "Transfer-Encoding: chunked\r\n\r\n0x2\r\nok\r\n0\r\n\r\n",
+        "POST / HTTP/1.1\r\n" + host + "Transfer-Encoding: chunked\r\n\r\n-2\r\nok\r\n0\r\n\r\n",
+        "POST / HTTP/1.1\r\n" + host + "Transfer-Encoding: chunked\r\n\r\n\r\nok\r\n0\r\n\r\n",
+        "POST / HTTP/1.1\r\n" + host + "Transfer-Encoding: chunked\r\n\r\nfffffffffffffffff\r\nok\r\n0\r\n\r\n",
+        "POST / HTTP/1.1\r\n" + host + "Transfer-Encoding: chunked\r\n\r\n2\r\nokk\r\n0\r\n\r\n",
+        "POST / HTTP/1.1\r\n" + host + "Transfer-Encoding: chunked\r\n\r\n2\nok\n0\n\n",
+        "POST / HTTP/1.1\r\n" + host + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX-Trailer: y\r\n\r\n",
+        "GET / HTTP/1.1\r\n" + host + "X-Folded: a\r\n b\r\n\r\n",
+        "GET / HTTP/1.1\r\n" + host + "Content-Length:\r\n 4\r\n\r\nbody",
+        "GET / HTTP/1.1\r\n Host: x\r\n\r\n",
+        "GET / HTTP/1.1\n" + host + "\n",
+        "GET / HTTP/1.1\r\nHost: x\nX: y\r\n\r\n",
+        "GET / HTTP/1.1\r\nHost: x\rX: y\r\n\r\n",
+        "GET / HTTP/1.1\r\nHost: x\r\nX: a" + std::string(1, '\0') + "b\r\n\r\n",
+        "GET / HTTP/1.1\r\n" + host + host + "\r\n",
+        "GET / HTTP/1.1\r\n\r\n",
+        "GET / HTTP/1.1\r\n" + host + "no colon\r\n\r\n",
+        "GET / HTTP/1.1\r\n" + host + ": no name\r\n\r\n",
+        "GET /\r\n\r\n",
+        "GET / HTTP/2.0\r\n" + host + "\r\n",
+        "GET / HTTP/1.10\r\n" + host + "\r\n",
+        "GET  / HTTP/1.1\r\n" + host + "\r\n",
+        "GET / x HTTP/1.1\r\n" + host + "\r\n",
+        "GET http://x/ HTTP/1.1\r\n" + host + "\r\n",
+        "GET /a#b HTTP/1.1\r\n" + host + "\r\n",
+        "CONNECT x:80 HTTP/1.1\r\n" + host + "\r\n",
+        "G<T / HTTP/1.1\r\n" + host + "\r\n",
+        "UNKNOWN-METHOD / HTTP/1.1\r\n" + host + "\r\n",
+        std::string("\x16\x03\x01\x02\x00\x01", 6),
+    };
+    ServerFixture fixture;
+    for (const std::string &request : requests) {
+        CAPTURE(request);
+        RawClient client(fixture.address());
+        client.send(request);
+        const std::string response = client.readToEnd();
+        CHECK(statusOf(response) == 400);
+        CHECK(response.find("Rhubarbtiller-Executed: not_run\r\n") != std::string::npos);
+        CHECK(client.closed());
+    }
+    CHECK(fixture.handler.requests == 0);
+}
+
+// Guards against a check that depends on how the bytes arrive: one byte at a time must give the same outcome.
+TEST_CASE("framing is checked across reads")
+{
+    ServerFixture fixture;
+    const auto sendSlowly = [&fixture](const std::string &request) {
+        RawClient client(fixture.address());
+        for (const char letter : request) {
+            client.send(std::string_view(&letter, 1));
+        }
+        return client.readResponses(1);
+    };
+    CHECK(statusOf(sendSlowly("POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nok")) == 200);
+    CHECK(statusOf(sendSlowly("POST /x HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n")) == 200);
+    CHECK(fixture.handler.requests == 2);
+    CHECK(statusOf(sendSlowly("POST /x HTTP/1.1\r\nHost: x\r\nX: a\r\n b\r\n\r\n")) == 400);
+    CHECK(fixture.handler.requests == 2);
+}
+
+// Guards against a caller that makes the host hold large requests.
+TEST_CASE("server bounds header and body")
+{
+    ServerLimits limits;
+    limits.maxHeader = ByteCount(1000);
+    limits.maxBody = ByteCount(100);
+    ServerFixture fixture(limits);
+    const auto answer = [&fixture](const std::string &request) {
+        RawClient client(fixture.address());
+        client.send(request);
+        return statusOf(client.readToEnd());
+    };
+    CHECK(answer("GET / HTTP/1.1\r\nHost: x\r\nX: " + std::string(1000, 'x')) == 431);
+    CHECK(answer("GET /" + std::string(2000, 'x')) == 431);
+    CHECK(answer("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 101\r\n\r\n") == 413);
+    CHECK(answer("POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n65\r\n") == 413);
+    CHECK(answer("POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n40\r\n" + std::string(64, 'x') + "\r\n30\r\n"
+                 + std::string(48, 'x') + "\r\n0\r\n\r\n")
+          == 413);
+    CHECK(fixture.handler.requests == 0);
+    RawClient client(fixture.address());
+    client.send("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\n" + std::string(100, 'x'));
+    CHECK(statusOf(client.readResponses(1)) == 200);
+}
+
+// Guards against callers that occupy a connection by sending slowly or not at all.
+TEST_CASE("server closes connections that are slow or idle")
+{
+    ServerLimits limits;
+    limits.readTimeLimit = std::chrono::milliseconds(200);
+    limits.idleTimeLimit = std::chrono::milliseconds(300);
+    ServerFixture fixture(limits);
+    RawClient slow(fixture.address());
+    slow.send("GET / HTTP/1.1\r\nHost");
+    CHECK(statusOf(slow.readToEnd()) == 408);
+    CHECK(slow.closed());
+    RawClient slowBody(fixture.address());
+    slowBody.send("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nab");
+    CHECK(statusOf(slowBody.readToEnd()) == 408);
+    RawClient idle(fixture.address());
+    CHECK(idle.readToEnd().empty());
+    CHECK(idle.closed());
+    RawClient kept(fixture.address());
+    kept.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+    CHECK(statusOf(kept.readResponses(1)) == 200);
+    CHECK(kept.readToEnd().empty());
+    CHECK(kept.closed());
+    CHECK(fixture.handler.requests == 1);
+}
+
+// Guards against a request that is cut short and runs all the same.
+TEST_CASE("server drops requests that the caller did not finish")
+{
+    ServerFixture fixture;
+    for (const bool isReset : {false, true}) {
+        RawClient client(fixture.address());
+        client.send("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\nhalf");
+        if (isReset) {
+            client.reset();
+        } else {
+            client.close();
+        }
+    }
+    RawClient client(fixture.address());
+    client.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+    CHECK(statusOf(client.readResponses(1)) == 200);
+    CHECK(fixture.handler.requests == 1);
+}
+
+// Guards against work that goes on for callers that have left, and against a crash when it answers them.
+TEST_CASE("server reports callers that disconnect before the response")
+{
+    ServerFixture fixture;
+    for (int round = 1; round <= 2; ++round) {
+        RawClient client(fixture.address());
+        client.send("GET /hold HTTP/1.1\r\nHost: x\r\n\r\n");
+        REQUIRE(eventually([&] {
+            return fixture.handler.requests == round;
+        }));
+        CHECK(fixture.handler.disconnects == round - 1);
+        if (round == 1) {
+            client.close();
+        } else {
+            client.reset();
+        }
+        CHECK(eventually([&] {
+            return fixture.handler.disconnects == round;
+        }));
+        const auto responder = fixture.handler.takeHeld();
+        REQUIRE(responder);
+        responder->respond(HttpResponse{200, {}, "late"});
+    }
+    RawClient client(fixture.address());
+    client.send("GET /hold HTTP/1.1\r\nHost: x\r\n\r\n");
+    std::shared_ptr<Responder> responder;
+    REQUIRE(eventually([&] {
+        responder = fixture.handler.takeHeld();
+        return responder != nullptr;
+    }));
+    responder->respond(HttpResponse{200, {}, "in time"});
+    CHECK(client.readResponses(1).ends_with("in time"));
+    client.close();
+    CHECK(fixture.handler.disconnects == 2);
+}
+
+// Guards against a pipelined request that overtakes the one before it, and a refusal taken for another's response (I8).
+TEST_CASE("pipelined requests wait for the response before them")
+{
+    ServerFixture fixture;
+    RawClient client(fixture.address());
+    client.send("GET /hold HTTP/1.1\r\nHost: x\r\n\r\nGET /next HTTP/1.1\r\nHost: x\r\n\r\n");
+    std::shared_ptr<Responder> responder;
+    REQUIRE(eventually([&] {
+        responder = fixture.handler.takeHeld();
+        return responder != nullptr;
+    }));
+    CHECK(fixture.handler.requests == 1);
+    responder->respond(HttpResponse{200, {}, "first"});
+    const std::string text = client.readResponses(2);
+    CHECK(text.find("first") < text.find("GET /next"));
+    CHECK(text.find("GET /next") != std::string::npos);
+
+    RawClient broken(fixture.address());
+    broken.send("GET /hold HTTP/1.1\r\nHost: x\r\n\r\n");
+    REQUIRE(eventually([&] {
+        responder = fixture.handler.takeHeld();
+        return responder != nullptr;
+    }));
+    broken.send("broken\r\n\r\n");
+    CHECK(broken.readToEnd().empty());
+    CHECK(broken.closed());
+    CHECK(eventually([&] {
+        return fixture.handler.disconnects == 1;
+    }));
+}
+
+// Guards against responses that a caller cannot delimit or whose headers the handler could forge.
+TEST_CASE("server frames responses by the request and the status")
+{
+    /// Answers with headers that must not reach the caller as they are.
+    class FixedHandler : public RequestHandler
+    {
+    public:
+        void onRequest(HttpRequest request, std::shared_ptr<Responder> responder) override
+        {
+            const int status = std::stoi(request.target.substr(1));
+            responder->respond(
+                HttpResponse{status,
+                             {{"Transfer-Encoding", "chunked"}, {"Content-Length", "77"}, {"X-Bad", "a\r\nX-Forged: b"}, {"X-Good", "c"}},
+                             "body"});
+        }
+    };
+    FixedHandler handler;
+    RunningContext running;
+    const auto server = makeRestinioServer(running.context, Endpoint("127.0.0.1:0"), ServerLimits(), handler);
+    REQUIRE_FALSE(server->start());
+    RawClient client(server->boundAddress());
+    const auto ask = [&client](const std::string &line) {
+        client.send(line + " HTTP/1.1\r\nHost: x\r\n\r\n");
+    };
+    ask("GET /200");
+    const std::string plain = client.readResponses(1);
+    CHECK(plain.find("Content-Length: 4\r\n") != std::string::npos);
+    CHECK(plain.find("X-Good: c") != std::string::npos);
+    CHECK(plain.find("Transfer-Encoding") == std::string::npos);
+    CHECK(plain.find("Forged") == std::string::npos);
+    CHECK(plain.ends_with("body"));
+    ask("GET /204");
+    CHECK(client.readResponses(1).find("Content-Length") == std::string::npos);
+    client.send("HEAD /200 HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    const std::string head = client.readToEnd();
+    CHECK(head.find("Content-Length: 77\r\n") != std::string::npos);
+    CHECK(head.ends_with("\r\n\r\n"));
+    CHECK(client.closed());
+}
+
+// Guards against a planned stop that interrupts a request or keeps a connection for further ones (I12).
+TEST_CASE("after stopAccepting open requests are answered and their connections closed")
+{
+    ServerFixture fixture;
+    RawClient client(fixture.address());
+    client.send("GET /hold HTTP/1.1\r\nHost: x\r\n\r\n");
+    std::shared_ptr<Responder> responder;
+    REQUIRE(eventually([&] {
+        responder = fixture.handler.takeHeld();
+        return responder != nullptr;
+    }));
+    fixture.server->stopAccepting();
+    CHECK(eventually([&] {
+        try {
+            RawClient late(fixture.address());
+            return false;
+        } catch (const std::system_error &) {
+            return true;
+        }
+    }));
+    responder->respond(HttpResponse{200, {}, "finished"});
+    const std::string text = client.readToEnd();
+    CHECK(text.find("Connection: close\r\n") != std::string::npos);
+    CHECK(text.ends_with("finished"));
+    CHECK(client.closed());
+}
+
+// Guards against a stop that leaves connections open.
+TEST_CASE("stop closes every connection")
+{
+    ServerFixture fixture;
+    RawClient client(fixture.address());
+    client.send("GET /hold HTTP/1.1\r\nHost: x\r\n\r\n");
+    REQUIRE(eventually([&] {
+        return fixture.handler.requests == 1;
+    }));
+    fixture.server->stop();
+    CHECK(client.readToEnd().empty());
+    CHECK(client.closed());
+    CHECK(eventually([&] {
+        return fixture.handler.disconnects == 1;
+    }));
+}
+
+// Guards against more open connections than allowed, and a limit that never frees a place.
+TEST_CASE("server bounds its connections")
+{
+    ServerLimits limits;
+    limits.maxConnections = 2;
+    ServerFixture fixture(limits);
+    const std::string request = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+    RawClient first(fixture.address());
+    RawClient second(fixture.address());
+    first.send(request);
+    second.send(request);
+    CHECK(statusOf(first.readResponses(1)) == 200);
+    CHECK(statusOf(second.readResponses(1)) == 200);
+    RawClient third(fixture.address());
+    third.send(request);
+    CHECK(fixture.handler.requests == 2);
+    first.close();
+    CHECK(statusOf(third.readResponses(1)) == 200);
+}
+
+// Guards against callers that wait a second for "100 Continue" before they send the body.
+TEST_CASE("server asks for the body when the caller expects it to")
+{
+    ServerFixture fixture;
+    RawClient client(fixture.address());
+    client.send("POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\nExpect: 100-continue\r\n\r\n");
+    CHECK(statusOf(client.readResponses(1)) == 100);
+    client.send("ok");
+    CHECK(client.readResponses(1).ends_with("POST /x ok"));
+}
+
+// Guards against a request to change the protocol that confuses the connection.
+TEST_CASE("server ignores a wish to upgrade and closes the connection after the response")
+{
+    ServerFixture fixture;
+    RawClient client(fixture.address());
+    client.send("GET /x HTTP/1.1\r\nHost: x\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n\r\nGET /smuggled HTTP/1.1\r\nHost: x\r\n\r\n");
+    const std::string text = client.readToEnd();
+    CHECK(statusOf(text) == 200);
+    CHECK(text.find("smuggled") == std::string::npos);
+    CHECK(client.closed());
+}
+
+// Guards against a start that claims success without the address.
+TEST_CASE("server reports an address in use")
+{
+    ServerFixture fixture;
+    EchoHandler handler;
+    const auto second = makeRestinioServer(fixture.running.context, fixture.address(), ServerLimits(), handler);
+    CHECK(second->start() == HttpError::AddressInUse);
+}
