Pass on which version is settled with the evidence

Each host found out for itself that a version is settled. A restarted host had to count a whole lease again.

A settled version stays settled, so the fact needs no age and may be taken from any message; EvidenceVector carries it.

--- a/packages/membership/include/rhubarbtiller/membership/freshness.h
+++ b/packages/membership/include/rhubarbtiller/membership/freshness.h
@@ -30,6 +30,8 @@
     /// Upper bound of the time since the store was read; unset when no read is known.
     std::optional<Duration> storeAge;
     std::vector<WitnessEvidence> witnesses;
+    /// The newest version that the sender knows to be settled. A settled version stays settled, so this needs no age.
+    ConfigVersion settledVersion;
 
     bool operator==(const EvidenceVector &) const = default;
 };
@@ -82,8 +84,8 @@
 
     /// Takes the evidence in a request that a peer sent of its own accord.
     ///
-    /// The request may have been under way for any time, so its ages are no upper bounds. Only the fact that the versions
-    /// exist is used; it renews no lease and settles nothing. Precondition: none.
+    /// The request may have been under way for any time, so its ages are no upper bounds. Only what stays true is used: which
+    /// versions exist and which one the peer knows to be settled. It renews no lease. Precondition: none.
     void onRequestEvidence(const EvidenceVector &evidence);
 
     /// Says that this host has applied \p version, with the fleet parameters of that version.
@@ -117,8 +119,8 @@
     /// Returns the newest version, up to appliedVersion(), for which no host acts on an older one any more.
     ///
     /// A version is settled when a majority of the witnesses and of the previous witnesses have reported it or a newer one,
-    /// all within one FreshnessLeaseDuration, and FreshnessLeaseDuration plus clock drift has passed since this host learned it.
-    /// Precondition: none.
+    /// all within one FreshnessLeaseDuration, and FreshnessLeaseDuration plus clock drift has passed since a host learned it.
+    /// That host tells the others. Precondition: none.
     ConfigVersion settledVersion(MonotonicTime now) const;
 
     /// Returns the evidence to send to peers, including the own report of a witness. Precondition: none.
@@ -163,6 +165,8 @@
     /// The least version that this host may report as a witness; unset until it is known.
     std::optional<ConfigVersion> reportFloor;
     std::deque<Majority> majorities;
+    /// The newest version that a peer knew to be settled.
+    ConfigVersion settledElsewhere;
 };
 
 } // namespace rhubarbtiller::membership
--- a/packages/membership/lib/freshness.cpp
+++ b/packages/membership/lib/freshness.cpp
@@ -56,7 +56,8 @@
 
 void FreshnessLease::onRequestEvidence(const EvidenceVector &evidence)
 {
-    this->highestKnown = std::max(this->highestKnown, evidence.storeVersion);
+    this->settledElsewhere = std::max(this->settledElsewhere, evidence.settledVersion);
+    this->highestKnown = std::max({this->highestKnown, evidence.storeVersion, evidence.settledVersion});
     for (const auto &report : evidence.witnesses) {
         this->highestKnown = std::max(this->highestKnown, report.version);
     }
@@ -172,12 +173,12 @@
 
 ConfigVersion FreshnessLease::settledVersion(MonotonicTime now) const
 {
-    ConfigVersion settled;
+    ConfigVersion settled = std::min(this->settledElsewhere, this->applied);
     for (const auto &majority : this->majorities) {
         if (majority.learnedAt + withClockDrift(FreshnessLeaseDuration) > now) {
             break;
         }
-        settled = majority.version;
+        settled = std::max(settled, majority.version);
     }
     return settled;
 }
@@ -221,6 +222,7 @@
 EvidenceVector FreshnessLease::evidenceVector(MonotonicTime now) const
 {
     EvidenceVector evidence;
+    evidence.settledVersion = this->settledVersion(now);
     if (!this->storeReads.empty()) {
         const auto &[version, at] = *this->storeReads.rbegin();
         evidence.storeVersion = version;
--- a/packages/membership/lib/placement.cpp
+++ b/packages/membership/lib/placement.cpp
@@ -36,6 +36,7 @@
         });
     }
     std::vector<FailureDomainId> domains;
+    domains.reserve(byDomain.size());
     for (const auto &[domain, members] : byDomain) {
         domains.push_back(domain);
     }
@@ -109,6 +110,7 @@
     }
 
     std::vector<Score> chosen;
+    chosen.reserve(best.size() + GuardianCount);
     for (const auto &[domain, score] : best) {
         chosen.push_back(score);
     }
@@ -121,6 +123,7 @@
     chosen.resize(std::min(chosen.size(), GuardianCount));
 
     std::vector<HostId> guardians;
+    guardians.reserve(chosen.size());
     for (const auto &[score, id] : chosen) {
         guardians.push_back(*id);
     }
--- a/packages/membership/unittests/fleettest.cpp
+++ b/packages/membership/unittests/fleettest.cpp
@@ -133,6 +133,15 @@
     return {};
 }
 
+// Guards against a checker that finds nothing: without the wait after its start, a guardian lends the vote that its last run
+// has lent to another holder.
+TEST_CASE("the fleet check fails when a guardian does not wait after its start")
+{
+    MissingMechanisms missing;
+    missing.guardianStartWait = true;
+    CHECK_FALSE(violationWithout(missing).empty());
+}
+
 // Guards against a checker that finds nothing: without the wait for the settled version, a new guardian lends a vote or uses
 // its share while hosts still act on the version before.
 TEST_CASE("the fleet check fails when a new guardian does not wait for the settled version")
--- a/packages/membership/unittests/freshnesstest.cpp
+++ b/packages/membership/unittests/freshnesstest.cpp
@@ -80,7 +80,7 @@
 }
 
 // Guards against a delayed request whose ages look fresh.
-TEST_CASE("evidence in a request renews nothing and settles nothing")
+TEST_CASE("the reports in a request renew nothing and settle nothing")
 {
     FreshnessLease lease(HostId("h"), Start);
     lease.onApplied(V1, fiveWitnesses(), Start);
@@ -110,6 +110,23 @@
     CHECK(lease.settledVersion(Start + 1h) == V2);
 }
 
+// Guards against every host waiting anew for a version that another one knows to be settled, which takes longer than 5 s, and
+// against a host that says so of a version that it has not applied.
+TEST_CASE("a host takes over which version is settled, up to its own")
+{
+    FreshnessLease lease(HostId("h"), Start);
+    lease.onApplied(V1, fiveWitnesses(), Start);
+    EvidenceVector evidence;
+    evidence.settledVersion = V2;
+    lease.onRequestEvidence(evidence);
+    CHECK(lease.settledVersion(Start) == V1);
+    CHECK(lease.highestKnownVersion() == V2);
+    lease.onApplied(V2, fiveWitnesses(), Start);
+    CHECK(lease.settledVersion(Start) == V2);
+    CHECK(lease.evidenceVector(Start).settledVersion == V2);
+    CHECK_FALSE(lease.holds(Start));
+}
+
 // Guards against evidence that is passed on younger than it is, and against a witness that reports for another host.
 TEST_CASE("evidence is passed on with its age, and a witness reports itself only when it knows the version")
 {
