--- a/packages/limits/include/rhubarbtiller/limits/tokenbucket.h
+++ b/packages/limits/include/rhubarbtiller/limits/tokenbucket.h
@@ -97,6 +97,7 @@
 
     /// Returns the empty time of a bucket with the limit \p next that holds the tokens of one with \p previous, or fewer.
     ///
+    /// It holds fewer where the shares arrived too recently to have accrued as much at the limit \p next.
     /// This is how rate and capacity change: convert the empty time, closeIf(), and make a new bucket. Precondition: none. Thread safety:
     /// any thread.
     static MonotonicTime emptyTimeAfterChange(const TokenLimit &previous,
