--- a/packages/platform/include/rhubarbtiller/platform/dynamotableservice.h
+++ b/packages/platform/include/rhubarbtiller/platform/dynamotableservice.h
@@ -4,6 +4,10 @@
 #include <rhubarbtiller/platform/serviceaccess.h>
 #include <rhubarbtiller/platform/tableservice.h>
 
+#include <memory>
+#include <optional>
+#include <string>
+
 namespace rhubarbtiller::platform {
 
 /// Speaks the Amazon DynamoDB low-level JSON API, version 2012-08-10.
@@ -16,14 +20,21 @@
     /// Precondition: \p httpClient outlives every call.
     DynamoTableService(http::HttpClient &httpClient, ServiceAccess serviceAccess, std::string table);
 
+    ~DynamoTableService() override;
+
     void readItem(ItemKey key, MonotonicTime deadline, Handler<Result<Item>> handler) override;
     void queryItems(KeyRange range, MonotonicTime deadline, Handler<Result<ItemPage>> handler) override;
     void writeTransaction(Transaction transaction, MonotonicTime deadline, Handler<Status> handler) override;
 
 private:
-    http::HttpClient &client;
-    ServiceAccess access;
-    std::string tableName;
+    struct Connection;
+
+    static void queryPage(const std::shared_ptr<const Connection> &connection,
+                          const std::shared_ptr<void> &state,
+                          const std::optional<ItemKey> &startAfter);
+
+    /// Shared with the calls under way, so that the service may be destroyed before they end.
+    std::shared_ptr<const Connection> connection;
 };
 
 } // namespace rhubarbtiller::platform
--- a/packages/platform/include/rhubarbtiller/platform/tableservice.h
+++ b/packages/platform/include/rhubarbtiller/platform/tableservice.h
@@ -68,7 +68,7 @@
 struct ItemPage
 {
     std::vector<Item> items;
-    /// False if the range goes on after the last item; the next call starts behind it.
+    /// False if the range may go on after the last item; the next call starts behind it.
     bool isComplete = true;
 };
 
--- /dev/null
+++ b/packages/testing/include/rhubarbtiller/testing/fakehostlist.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <rhubarbtiller/platform/hostlist.h>
+#include <rhubarbtiller/testing/faultinjector.h>
+
+#include <deque>
+#include <utility>
+#include <vector>
+
+namespace rhubarbtiller::testing {
+
+/// The host list in memory, with faults and a lag.
+///
+/// Thread safety: one thread.
+class FakeHostList : public platform::HostList
+{
+public:
+    /// Runs on the scheduler's clock, or ends calls at once and without a lag without one. Precondition: the scheduler outlives the list.
+    explicit FakeHostList(VirtualScheduler *virtualScheduler = nullptr) : injector(virtualScheduler), scheduler(virtualScheduler)
+    {
+    }
+
+    void readHosts(MonotonicTime deadline, platform::Handler<Result<std::vector<platform::ListedHost>>> handler) override
+    {
+        this->injector.call<Result<std::vector<platform::ListedHost>>>(
+            false,
+            deadline,
+            [this]() -> Result<std::vector<platform::ListedHost>> {
+                while (this->versions.size() > 1 && this->versions[1].first <= this->now()) {
+                    this->versions.pop_front();
+                }
+                return this->versions.front().second;
+            },
+            std::move(handler));
+    }
+
+    /// Changes the actual hosts; readers see them after the lag. Precondition: none.
+    void setHosts(std::vector<platform::ListedHost> hosts)
+    {
+        this->versions.emplace_back(this->now() + this->lag, std::move(hosts));
+    }
+
+    /// Returns the faults, to be changed. Precondition: none.
+    ServiceFaults &faults()
+    {
+        return this->injector.faults;
+    }
+
+    /// How long a change of the hosts stays unseen; for a change after this was set.
+    Duration lag{0};
+
+private:
+    MonotonicTime now() const
+    {
+        return this->scheduler ? this->scheduler->now() : MonotonicTime::max() - this->lag;
+    }
+
+    FaultInjector injector;
+    VirtualScheduler *scheduler;
+    std::deque<std::pair<MonotonicTime, std::vector<platform::ListedHost>>> versions{{MonotonicTime::min(), {}}};
+};
+
+} // namespace rhubarbtiller::testing
--- a/packages/testing/include/rhubarbtiller/testing/platformstandin.h
+++ b/packages/testing/include/rhubarbtiller/testing/platformstandin.h
@@ -3,6 +3,7 @@
 #include <rhubarbtiller/base/strongid.h>
 #include <rhubarbtiller/testing/dynamoendpoint.h>
 #include <rhubarbtiller/testing/rawhttpserver.h>
+#include <rhubarbtiller/testing/servicefaults.h>
 
 #include <asio/io_context.hpp>
 
@@ -16,32 +17,6 @@
 
 namespace rhubarbtiller::testing {
 
-/// How a service of the platform fails.
-enum class OutageMode {
-    None,
-    /// Responds with 503.
-    Refuse,
-    /// Takes the call, does nothing and never responds.
-    Silent,
-    /// Resets the connection without doing anything.
-    Reset,
-};
-
-/// The faults of one service of the platform stand-in.
-struct ServiceFaults
-{
-    OutageMode outage = OutageMode::None;
-    std::chrono::milliseconds delay{0};
-    /// Writes that take effect while the connection is closed instead of a response.
-    std::uint32_t loseNextWriteAnswers = 0;
-    /// Writes that get no response and take effect \c lateTime later.
-    std::uint32_t lateNextWrites = 0;
-    std::chrono::milliseconds lateTime{1000};
-    /// Calls above this number in a second are refused as throttled; 0 for no limit.
-    std::uint32_t readsPerSecond = 0;
-    std::uint32_t writesPerSecond = 0;
-};
-
 /// The platform's table service, object store and host list over HTTP, in memory.
 ///
 /// POST / is the DynamoDB API, GET /hosts the host list document, GET and PUT /bucket/object the object store. Control:
@@ -67,6 +42,9 @@
     struct Service
     {
         ServiceFaults faults;
+        /// Calls above this number in a second are refused as throttled; 0 for no limit.
+        std::uint32_t readsPerSecond = 0;
+        std::uint32_t writesPerSecond = 0;
         std::uint64_t reads = 0;
         std::uint64_t writes = 0;
         std::uint64_t failed = 0;
@@ -85,7 +63,7 @@
     bool applyFaults(const std::string &json);
     bool applyHosts(const std::string &json);
     std::string currentHosts();
-    void later(std::chrono::milliseconds delay, std::function<void()> action);
+    void later(Duration delay, std::function<void()> action);
 
     asio::io_context &context;
     RawHttpServer server;
--- a/packages/testing/lib/platformstandin.cpp
+++ b/packages/testing/lib/platformstandin.cpp
@@ -121,7 +121,7 @@
         service.readsInSecond = 0;
         service.writesInSecond = 0;
     }
-    const std::uint32_t limit = isWrite ? service.faults.writesPerSecond : service.faults.readsPerSecond;
+    const std::uint32_t limit = isWrite ? service.writesPerSecond : service.readsPerSecond;
     std::uint32_t &count = isWrite ? service.writesInSecond : service.readsInSecond;
     if (limit > 0 && count >= limit) {
         return true;
@@ -201,25 +201,30 @@
         if (name != "all" && !this->services.contains(name)) {
             return false;
         }
-        std::vector<std::pair<Service *, ServiceFaults>> changed;
+        std::vector<std::pair<Service *, Service>> changed;
         for (auto &[serviceName, service] : this->services) {
             if (name != "all" && name != serviceName) {
                 continue;
             }
-            ServiceFaults faults = service.faults;
+            Service next = service;
+            ServiceFaults &faults = next.faults;
             if (object.contains("outage")) {
                 faults.outage = outages.at(object.at("outage").get<std::string>());
             }
-            faults.delay = std::chrono::milliseconds(object.value("delayMs", static_cast<std::int64_t>(faults.delay.count())));
+            if (object.contains("delayMs")) {
+                faults.delay = std::chrono::milliseconds(object.at("delayMs").get<std::int64_t>());
+            }
             faults.loseNextWriteAnswers = object.value("loseNextWriteAnswers", faults.loseNextWriteAnswers);
             faults.lateNextWrites = object.value("lateNextWrites", faults.lateNextWrites);
-            faults.lateTime = std::chrono::milliseconds(object.value("lateMs", static_cast<std::int64_t>(faults.lateTime.count())));
-            faults.readsPerSecond = object.value("readsPerSecond", faults.readsPerSecond);
-            faults.writesPerSecond = object.value("writesPerSecond", faults.writesPerSecond);
-            changed.emplace_back(&service, faults);
+            if (object.contains("lateMs")) {
+                faults.lateTime = std::chrono::milliseconds(object.at("lateMs").get<std::int64_t>());
+            }
+            next.readsPerSecond = object.value("readsPerSecond", next.readsPerSecond);
+            next.writesPerSecond = object.value("writesPerSecond", next.writesPerSecond);
+            changed.emplace_back(&service, next);
         }
-        for (const auto &[service, faults] : changed) {
-            service->faults = faults;
+        for (const auto &[service, next] : changed) {
+            *service = next;
         }
         return true;
     } catch (const std::exception &) {
@@ -248,7 +253,7 @@
     return this->hostDocuments.front().second;
 }
 
-void PlatformStandin::later(std::chrono::milliseconds delay, std::function<void()> action)
+void PlatformStandin::later(Duration delay, std::function<void()> action)
 {
     const auto timer = std::make_shared<asio::steady_timer>(this->context, delay);
     timer->async_wait([timer, action = std::move(action)](std::error_code error) {
