--- a/packages/testing/include/rhubarbtiller/testing/faultinjector.h
+++ b/packages/testing/include/rhubarbtiller/testing/faultinjector.h
@@ -48,14 +48,14 @@
         if (isWrite && this->faults.loseNextWriteAnswers > 0) {
             --this->faults.loseNextWriteAnswers;
             this->schedule(this->faults.delay, [effect = std::move(effect)] {
-                effect();
+                static_cast<void>(effect());
             });
             this->timeOut(deadline, std::move(handler));
             return;
         }
         if (this->scheduler && this->scheduler->now() + this->faults.delay > deadline) {
             this->schedule(this->faults.delay, [effect = std::move(effect)] {
-                effect();
+                static_cast<void>(effect());
             });
             this->timeOut(deadline, std::move(handler));
             return;
@@ -102,7 +102,7 @@
     void scheduleLate(std::function<Outcome()> effect)
     {
         auto action = [effect = std::move(effect)] {
-            effect();
+            static_cast<void>(effect());
         };
         if (!this->scheduler) {
             this->lateWrites.push_back(std::move(action));
