--- a/packages/platform/lib/callerrors.cpp
+++ b/packages/platform/lib/callerrors.cpp
@@ -91,7 +91,9 @@
     const Json body = Json::parse(response.body, nullptr, false);
     const auto member = body.is_object() ? body.find("__type") : body.end();
     if (!body.is_object() || member == body.end() || !member->is_string() || response.status < 400) {
-        return fromHttpStatus(response.status);
+        const PlatformError error = fromHttpStatus(response.status);
+        // The API reports a missing item with a success, so a bare 404 comes from something else than the service.
+        return error == PlatformError::NotFound ? PlatformError::Unavailable : error;
     }
     const auto name = member->get<std::string>();
     const auto type = name.substr(name.find('#') == std::string::npos ? 0 : name.find('#') + 1);
