--- a/packages/platform/lib/dynamojson.cpp
+++ b/packages/platform/lib/dynamojson.cpp
@@ -114,12 +114,12 @@
     return item;
 }
 
-std::string encodeGetItem(const std::string &tableName, const ItemKey &key)
+Json encodeGetItem(const std::string &tableName, const ItemKey &key)
 {
-    return Json{{"TableName", tableName}, {"Key", encodeKey(key)}, {"ConsistentRead", true}}.dump();
+    return {{"TableName", tableName}, {"Key", encodeKey(key)}, {"ConsistentRead", true}};
 }
 
-std::string encodeQuery(const std::string &tableName, const KeyRange &range, std::uint32_t limit, const std::optional<ItemKey> &startAfter)
+Json encodeQuery(const std::string &tableName, const KeyRange &range, std::uint32_t limit, const std::optional<ItemKey> &startAfter)
 {
     Json call = {{"TableName", tableName},
                  {"ConsistentRead", true},
@@ -131,7 +131,7 @@
     if (startAfter) {
         call["ExclusiveStartKey"] = encodeKey(*startAfter);
     }
-    return call.dump();
+    return call;
 }
 
 static void encodeCondition(const Condition &condition, Json &call)
@@ -178,7 +178,7 @@
     return {{"Delete", std::move(call)}};
 }
 
-std::string encodeTransactWriteItems(const std::string &tableName, const Transaction &transaction)
+Json encodeTransactWriteItems(const std::string &tableName, const Transaction &transaction)
 {
     Json elements = Json::array();
     for (const auto &write : transaction.writes) {
@@ -188,7 +188,7 @@
             },
             write));
     }
-    return Json{{"TransactItems", std::move(elements)}, {"ClientRequestToken", transaction.clientRequestToken}}.dump();
+    return {{"TransactItems", std::move(elements)}, {"ClientRequestToken", transaction.clientRequestToken}};
 }
 
 } // namespace rhubarbtiller::platform
--- a/packages/platform/lib/dynamojson.h
+++ b/packages/platform/lib/dynamojson.h
@@ -27,12 +27,13 @@
 std::optional<Item> decodeItem(const nlohmann::json &json);
 
 /// Returns the body of a GetItem call. Thread safety: any thread.
-std::string encodeGetItem(const std::string &tableName, const ItemKey &key);
+nlohmann::json encodeGetItem(const std::string &tableName, const ItemKey &key);
 
 /// Returns the body of a Query call for the items of \p range behind \p startAfter, if that is set. Thread safety: any thread.
-std::string encodeQuery(const std::string &tableName, const KeyRange &range, std::uint32_t limit, const std::optional<ItemKey> &startAfter);
+nlohmann::json
+encodeQuery(const std::string &tableName, const KeyRange &range, std::uint32_t limit, const std::optional<ItemKey> &startAfter);
 
 /// Returns the body of a TransactWriteItems call. Thread safety: any thread.
-std::string encodeTransactWriteItems(const std::string &tableName, const Transaction &transaction);
+nlohmann::json encodeTransactWriteItems(const std::string &tableName, const Transaction &transaction);
 
 } // namespace rhubarbtiller::platform
--- a/packages/platform/lib/dynamotableservice.cpp
+++ b/packages/platform/lib/dynamotableservice.cpp
@@ -33,7 +33,7 @@
     ServiceAccess access;
     std::string tableName;
 
-    void call(const char *operation, std::string body, MonotonicTime deadline, const Handler<Result<Json>> &handler) const
+    void call(const char *operation, const Json &body, MonotonicTime deadline, const Handler<Result<Json>> &handler) const
     {
         http::HttpCall call;
         call.server = this->access.server;
@@ -43,7 +43,13 @@
         call.request.target = "/";
         call.request.headers
             = {{"Content-Type", "application/x-amz-json-1.0"}, {"X-Amz-Target", std::string("DynamoDB_20120810.") + operation}};
-        call.request.body = std::move(body);
+        try {
+            call.request.body = body.dump();
+        } catch (const Json::exception &) {
+            // A text that is not UTF-8 has no JSON form.
+            handler(make_error_code(PlatformError::InvalidRequest));
+            return;
+        }
         if (!this->access.region.empty()) {
             call.awsSignature = "aws:amz:" + this->access.region + ":dynamodb";
             call.awsCredential = this->access.credential;
@@ -76,7 +82,7 @@
 
 void DynamoTableService::readItem(ItemKey key, MonotonicTime deadline, Handler<Result<Item>> handler)
 {
-    auto body = encodeGetItem(this->connection->tableName, key);
+    const Json body = encodeGetItem(this->connection->tableName, key);
     this->connection->call(
         "GetItem", std::move(body), deadline, [key = std::move(key), handler = std::move(handler)](const Result<Json> &response) {
             if (!response) {
--- a/packages/platform/unittests/adapterstest.cpp
+++ b/packages/platform/unittests/adapterstest.cpp
@@ -98,19 +98,31 @@
     CHECK_FALSE(outcomeOf<Status>([&](auto handler) {
         tables.writeTransaction(transaction, Deadline, handler);
     }));
-    const std::string expected =
-        R"({"ClientRequestToken":"token","TransactItems":[)"
-        R"x({"Put":{"ConditionExpression":"attribute_not_exists(#pk)","ExpressionAttributeNames":{"#pk":"pk"},)x"
-        R"("Item":{"pk":{"S":"p"},"sk":{"S":"s"},"v":{"B":"YWI="}},"TableName":"table"}},)"
-        R"({"Update":{"ConditionExpression":"#condition = :condition",)"
-        R"("ExpressionAttributeNames":{"#condition":"v","#set0":"v","#set1":"w"},)"
-        R"("ExpressionAttributeValues":{":condition":{"N":"7"},":set0":{"N":"8"},":set1":{"S":"x"}},)"
-        R"("Key":{"pk":{"S":"p"},"sk":{"S":"h"}},"TableName":"table","UpdateExpression":"SET #set0 = :set0, #set1 = :set1"}},)"
-        R"({"Delete":{"Key":{"pk":{"S":"p"},"sk":{"S":"d"}},"TableName":"table"}}]})";
+    const std::string expected
+        = R"({"ClientRequestToken":"token","TransactItems":[)"
+          R"x({"Put":{"ConditionExpression":"attribute_not_exists(#pk)","ExpressionAttributeNames":{"#pk":"pk"},)x"
+          R"("Item":{"pk":{"S":"p"},"sk":{"S":"s"},"v":{"B":"YWI="}},"TableName":"table"}},)"
+          R"({"Update":{"ConditionExpression":"#condition = :condition",)"
+          R"("ExpressionAttributeNames":{"#condition":"v","#set0":"v","#set1":"w"},)"
+          R"("ExpressionAttributeValues":{":condition":{"N":"7"},":set0":{"N":"8"},":set1":{"S":"x"}},)"
+          R"("Key":{"pk":{"S":"p"},"sk":{"S":"h"}},"TableName":"table","UpdateExpression":"SET #set0 = :set0, #set1 = :set1"}},)"
+          R"({"Delete":{"Key":{"pk":{"S":"p"},"sk":{"S":"d"}},"TableName":"table"}}]})";
     CHECK(client.calls[0].request.body == expected);
     CHECK(http::findHeader(client.calls[0].request.headers, "X-Amz-Target") == "DynamoDB_20120810.TransactWriteItems");
 }
 
+// Guards against an exception out of the package, and against a call with a changed text.
+TEST_CASE("a text that is not UTF-8 is refused")
+{
+    FakeHttpClient client(answering(200, "{}"));
+    DynamoTableService tables(client, Access, "table");
+    const auto status = outcomeOf<Status>([&](auto handler) {
+        tables.writeTransaction({{PutItem{{{"p", "s"}, {{"v", std::string("\xff")}}}, {}}}, "token"}, Deadline, handler);
+    });
+    CHECK(status == PlatformError::InvalidRequest);
+    CHECK(client.calls.empty());
+}
+
 // Guards against an answer to another call that is taken for the item asked for.
 TEST_CASE("a response that does not fit the call is malformed")
 {
--- a/packages/testing/lib/dynamoendpoint.cpp
+++ b/packages/testing/lib/dynamoendpoint.cpp
@@ -206,8 +206,16 @@
     return {status, {{"Content-Type", "application/x-amz-json-1.0"}}, json.dump()};
 }
 
+static void requireTable(const Json &call)
+{
+    if (call.at("TableName").get<std::string>().empty()) {
+        throw InvalidCall("no table");
+    }
+}
+
 static http::HttpResponse getItem(const MemoryTable &table, const Json &call)
 {
+    requireTable(call);
     if (const auto *item = table.find(decodeKey(call.at("Key")))) {
         return jsonResponse(200, {{"Item", encodeItem(*item)}});
     }
@@ -218,6 +226,7 @@
 {
     // A response of the real service holds at most 1 MiB; a smaller page makes tests follow pages.
     static constexpr std::uint32_t MaxPage = 100;
+    requireTable(call);
     const auto tokens = splitTokens(call.at("KeyConditionExpression").get<std::string>());
     if (tokens.size() != 9 || resolveName(call, tokens[0]) != "pk" || tokens[1] != "=" || tokens[3] != "AND"
         || resolveName(call, tokens[4]) != "sk" || tokens[5] != "BETWEEN" || tokens[7] != "AND") {
@@ -256,6 +265,7 @@
     }
     std::set<platform::ItemKey> keys;
     for (const auto &element : call.at("TransactItems")) {
+        requireTable(element.front());
         platform::ItemKey key;
         if (element.contains("Put")) {
             const auto &put = element.at("Put");
@@ -302,9 +312,6 @@
     }
     try {
         const Json call = Json::parse(request.body);
-        if (call.at("TableName").get<std::string>().empty()) {
-            throw InvalidCall("no table");
-        }
         if (target == TargetPrefix + "GetItem") {
             return getItem(this->items, call);
         }
