Serve requests end to end with two programs and a demonstration

Cause: the packages did not make a running system yet. Ruled out: Asio macros that differ between targets (made uniform, the crash stayed); the crash and empty results came from g++ 12, which destroys temporaries with destructors inside a co_await expression twice, so awaitHandler keeps its state in named objects. Change: controllers, request pipeline, home service, server owner, operator service, the programs rhubarbtiller and rhubarbtillerctl, scripts/demo with six hosts in three failure domains. Before: hosts aborted with a corrupted heap within 10 s. Conclusion: the thin path works; the status showed one host with a settled version one behind.

--- /dev/null
+++ b/apps/rhubarbtiller/main.cpp
@@ -0,0 +1,100 @@
+#include <rhubarbtiller/host/hostprocess.h>
+#include <rhubarbtiller/settings/settings.h>
+#include <rhubarbtiller/telemetry/log.h>
+
+#include <asio/signal_set.hpp>
+#include <gflags/gflags.h>
+
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <thread>
+#include <vector>
+
+DEFINE_string(settings, "", "file with the settings of this host, JSON with comments");
+DEFINE_bool(check, false, "check the settings and end");
+
+using namespace rhubarbtiller;
+
+static constexpr int ExitUsage = 1;
+static constexpr int ExitSettings = 2;
+static constexpr int ExitPorts = 3;
+
+static telemetry::LogLevel logLevelByName(const std::string &name)
+{
+    if (name == "debug") {
+        return telemetry::LogLevel::Debug;
+    }
+    if (name == "warning") {
+        return telemetry::LogLevel::Warning;
+    }
+    return name == "error" ? telemetry::LogLevel::Error : telemetry::LogLevel::Info;
+}
+
+static std::optional<settings::HostSettings> readSettings(const std::string &path)
+{
+    std::ifstream file(path);
+    if (!file) {
+        std::cerr << path << ": the file cannot be read\n";
+        return std::nullopt;
+    }
+    const std::string text(std::istreambuf_iterator<char>(file), {});
+    config::Problems problems;
+    auto parsed = settings::parseHostSettings(text, problems);
+    for (const auto &problem : problems) {
+        std::cerr << path << ": " << problem.describe() << "\n";
+    }
+    return parsed;
+}
+
+static int runHost(const settings::HostSettings &hostSettings)
+{
+    asio::io_context context(static_cast<int>(hostSettings.threads));
+    asio::signal_set signals(context, SIGTERM, SIGINT);
+    host::HostProcess process(context, hostSettings, [&context] {
+        context.stop();
+    });
+    if (const auto error = process.start()) {
+        telemetry::logEvent(telemetry::LogLevel::Error, "start_failed", {{"error", error.message()}});
+        return ExitPorts;
+    }
+    signals.async_wait([&process](const std::error_code &error, int) {
+        if (!error) {
+            process.beginDrain();
+        }
+    });
+    std::vector<std::thread> threads;
+    for (std::uint32_t i = 1; i < hostSettings.threads; ++i) {
+        threads.emplace_back([&context] {
+            context.run();
+        });
+    }
+    context.run();
+    for (auto &thread : threads) {
+        thread.join();
+    }
+    return 0;
+}
+
+int main(int argc, char **argv)
+{
+    gflags::SetUsageMessage("runs the proxy on an entry host: rhubarbtiller --settings=FILE");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    if (FLAGS_settings.empty() || argc > 1) {
+        std::cerr << "rhubarbtiller --settings=FILE [--check]\n";
+        return ExitUsage;
+    }
+    const auto hostSettings = readSettings(FLAGS_settings);
+    if (!hostSettings) {
+        return ExitSettings;
+    }
+    if (FLAGS_check) {
+        std::cout << "the settings are valid\n";
+        return 0;
+    }
+    // A caller or server that closes its connection must not end the process.
+    std::signal(SIGPIPE, SIG_IGN);
+    telemetry::setLogLevel(logLevelByName(hostSettings->logLevel));
+    return runHost(*hostSettings);
+}
--- /dev/null
+++ b/apps/rhubarbtillerctl/main.cpp
@@ -0,0 +1,119 @@
+#include <rhubarbtiller/http/curlhttpclient.h>
+#include <rhubarbtiller/operatorclient/commands.h>
+#include <rhubarbtiller/platform/dynamotableservice.h>
+#include <rhubarbtiller/platform/s3objectstore.h>
+
+#include <asio/executor_work_guard.hpp>
+#include <asio/io_context.hpp>
+#include <gflags/gflags.h>
+
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <thread>
+
+DEFINE_string(settings, "", "file with the operator's settings, JSON with comments");
+DEFINE_bool(json, false, "print JSON");
+DEFINE_double(rate, -1, "requests a second over all hosts together");
+DEFINE_double(burst, -1, "requests that may come at once");
+DEFINE_string(reason, "", "why, for other operators");
+DEFINE_string(name, "", "name of the new key");
+DEFINE_int64(base, -1, "revision of the tables that the folder is based on");
+
+using namespace rhubarbtiller;
+using operatorclient::ExitCode;
+
+namespace {
+
+/// The connections of a session, made only if a command needs them.
+struct Connections
+{
+    explicit Connections(const settings::OperatorSettings &settings)
+        : work(asio::make_work_guard(this->context))
+        , client(http::makeCurlHttpClient(this->context, this->clock))
+        , tables(*this->client,
+                 {settings.platform.tableAddress, settings.platform.region, settings.platform.credential},
+                 settings.platform.tableName)
+        , objects(*this->client,
+                  {settings.platform.objectAddress, settings.platform.region, settings.platform.credential},
+                  settings.platform.bucket)
+        , store(this->tables, this->objects, this->clock)
+        , session(settings, this->clock, *this->client, this->store, this->random, std::cout)
+        , thread([this] {
+            this->context.run();
+        })
+    {
+    }
+
+    ~Connections()
+    {
+        this->context.stop();
+        this->thread.join();
+    }
+
+    SystemClock clock;
+    SystemRandom random;
+    asio::io_context context;
+    asio::executor_work_guard<asio::io_context::executor_type> work;
+    std::unique_ptr<http::HttpClient> client;
+    platform::DynamoTableService tables;
+    platform::S3ObjectStore objects;
+    platform::ChangeLogStore store;
+    operatorclient::Session session;
+    std::thread thread;
+};
+
+} // namespace
+
+static std::optional<settings::OperatorSettings> readSettings(const std::string &path)
+{
+    std::ifstream file(path);
+    if (!file) {
+        std::cerr << path << ": the file cannot be read\n";
+        return std::nullopt;
+    }
+    const std::string text(std::istreambuf_iterator<char>(file), {});
+    config::Problems problems;
+    auto parsed = settings::parseOperatorSettings(text, problems);
+    for (const auto &problem : problems) {
+        std::cerr << path << ": " << problem.describe() << "\n";
+    }
+    return parsed;
+}
+
+static operatorclient::Options optionsFromFlags()
+{
+    operatorclient::Options options;
+    options.asJson = FLAGS_json;
+    options.reason = FLAGS_reason;
+    options.keyName = FLAGS_name;
+    if (FLAGS_rate >= 0) {
+        options.rate = FLAGS_rate;
+    }
+    if (FLAGS_burst >= 0) {
+        options.burst = FLAGS_burst;
+    }
+    if (FLAGS_base >= 0) {
+        options.baseRevision = static_cast<std::uint64_t>(FLAGS_base);
+    }
+    return options;
+}
+
+int main(int argc, char **argv)
+{
+    gflags::SetUsageMessage(operatorclient::usageText());
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    std::signal(SIGPIPE, SIG_IGN);
+    const std::vector<std::string> words(argv + 1, argv + argc);
+    std::unique_ptr<Connections> connections;
+    const auto openSession = [&connections]() -> operatorclient::Session * {
+        const auto settings = readSettings(FLAGS_settings);
+        if (!settings) {
+            return nullptr;
+        }
+        connections = std::make_unique<Connections>(*settings);
+        return &connections->session;
+    };
+    return static_cast<int>(operatorclient::runCommand(words, optionsFromFlags(), openSession, std::cout, std::cerr));
+}
--- a/packages/host/include/rhubarbtiller/host/operatorservice.h
+++ b/packages/host/include/rhubarbtiller/host/operatorservice.h
@@ -47,6 +47,12 @@
     /// Precondition: what \p serviceParts refers to outlives this object.
     explicit OperatorService(Parts serviceParts);
 
+    /// Lets operators drop messages from and to peers. Precondition: called before the first request.
+    void allowLinkFaults(std::function<void(const HostId &peer, bool dropIncoming, bool dropOutgoing)> setFault)
+    {
+        this->parts.setLinkFault = std::move(setFault);
+    }
+
     void onRequest(http::HttpRequest request, std::shared_ptr<http::Responder> responder) override;
 
 private:
--- a/packages/host/include/rhubarbtiller/host/peerdispatcher.h
+++ b/packages/host/include/rhubarbtiller/host/peerdispatcher.h
@@ -14,6 +14,11 @@
 #include <mutex>
 #include <unordered_map>
 
+namespace rhubarbtiller::peer::wire {
+class CancelRequest;
+class ForwardRequest;
+} // namespace rhubarbtiller::peer::wire
+
 namespace rhubarbtiller::host {
 
 /// Hands the messages of peers to the parts that answer them.
--- a/packages/host/include/rhubarbtiller/host/rostercontroller.h
+++ b/packages/host/include/rhubarbtiller/host/rostercontroller.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <rhubarbtiller/base/random.h>
 #include <rhubarbtiller/host/configcontroller.h>
 #include <rhubarbtiller/host/leasecontroller.h>
 #include <rhubarbtiller/platform/changelogstore.h>
@@ -29,9 +30,14 @@
                      ConfigController &configController,
                      LeaseController &leaseController,
                      RandomSource &random,
-                     config::Host ownRow,
                      std::uint32_t shardCount);
 
+    /// Sets the row that this host puts into the roster. Precondition: called before the first onPolled().
+    void setOwnRow(config::Host ownRow)
+    {
+        this->self = std::move(ownRow);
+    }
+
     /// Looks for work; called after each poll of the store. Precondition: none.
     void onPolled();
 
--- a/packages/host/lib/awaiting.h
+++ b/packages/host/lib/awaiting.h
@@ -19,21 +19,19 @@
 template<class Value, class Start>
 asio::awaitable<Value> awaitHandler(Start start)
 {
-    auto slot = std::make_shared<std::optional<Value>>();
-    co_await asio::async_initiate<const asio::use_awaitable_t<> &, void()>(
-        [slot, &start](auto completion) {
-            using Completion = decltype(completion);
-            auto shared = std::make_shared<Completion>(std::move(completion));
-            start(std::function<void(Value)>([slot, shared](Value value) {
-                slot->emplace(std::move(value));
-                auto executor = asio::get_associated_executor(*shared);
-                asio::post(executor, [shared] {
-                    (*shared)();
-                });
-            }));
-        },
-        asio::use_awaitable);
-    co_return std::move(**slot);
+    std::optional<Value> slot;
+    // A named object with references only: g++ 12 destroys temporaries with destructors inside a co_await expression twice.
+    auto initiation = [&slot, &start](auto completion) {
+        auto shared = std::make_shared<decltype(completion)>(std::move(completion));
+        start(std::function<void(Value)>([&slot, shared](Value value) {
+            slot.emplace(std::move(value));
+            asio::post(asio::get_associated_executor(*shared), [shared] {
+                (*shared)();
+            });
+        }));
+    };
+    co_await asio::async_initiate<const asio::use_awaitable_t<> &, void()>(initiation, asio::use_awaitable);
+    co_return std::move(*slot);
 }
 
 } // namespace rhubarbtiller::host
--- a/packages/host/lib/configcontroller.cpp
+++ b/packages/host/lib/configcontroller.cpp
@@ -7,6 +7,7 @@
 
 #include <asio/co_spawn.hpp>
 #include <asio/detached.hpp>
+#include <asio/redirect_error.hpp>
 #include <peer_types.h>
 
 #include <algorithm>
--- a/packages/host/lib/hostprocess.cpp
+++ b/packages/host/lib/hostprocess.cpp
@@ -19,9 +19,6 @@
 #include <asio/steady_timer.hpp>
 #include <asio/strand.hpp>
 
-#include <array>
-#include <ctime>
-
 namespace rhubarbtiller::host {
 
 using telemetry::Gauge;
@@ -40,25 +37,330 @@
 /// Operators need few connections; a lost scraper must not take all of them.
 static constexpr std::uint32_t MaxOperatorConnections = 64;
 
-/// Gives the parts that need the peer network before it can be made a stable address.
-class LatePeerNetwork : public peer::PeerNetwork
+static http::ServerLimits callerLimits(const settings::LimitSettings &limits)
 {
-public:
-    void call(const Endpoint &peer, peer::wire::Envelope message, MonotonicTime deadline, peer::PeerOutcomeHandler handler) override;
+    http::ServerLimits bounds;
+    bounds.maxHeader = limits.maxHeader;
+    bounds.maxBody = limits.maxBody;
+    bounds.maxConnections = limits.maxConnections;
+    bounds.readTimeLimit = limits.readTimeLimit;
+    return bounds;
+}
 
-    std::unique_ptr<peer::AsioPeerNetwork> target;
-};
+static http::ServerLimits operatorLimits()
+{
+    http::ServerLimits bounds;
+    bounds.maxConnections = MaxOperatorConnections;
+    return bounds;
+}
+
+static platform::ServiceAccess accessTo(const Endpoint &server, const settings::PlatformSettings &platform)
+{
+    return {server, platform.region, platform.credential};
+}
 
-/// Gives the peer network a handler before the dispatcher can be made.
-class LateMessageHandler : public peer::PeerMessageHandler
+static limits::OverloadSettings overloadSettings(const settings::LimitSettings &limits)
 {
-public:
-    void onMessage(const HostId &sender, const peer::wire::Envelope &message, peer::PeerReplyFunction reply) override
+    limits::OverloadSettings overload;
+    overload.maxConcurrent = limits.maxConcurrentRequests;
+    overload.minConcurrent = std::min(overload.minConcurrent, overload.maxConcurrent);
+    return overload;
+}
+
+struct HostProcess::Parts
+{
+    Parts(asio::io_context &context, const settings::HostSettings &settings, std::function<void()> whenDrained)
+        : strand(asio::make_strand(context))
+        , incarnation(static_cast<std::uint64_t>(this->clock.wallNow().time_since_epoch().count()))
+        , spans(telemetry::makeJsonLinesExporter(settings.spanOutput))
+        , linkFaults(std::make_shared<LinkFaults>())
+        , network(context, this->clock, {settings.id, settings.peerAddress, settings.peerCredential, this->linkFaults})
+        , platformClient(http::makeCurlHttpClient(context, this->clock))
+        , backendClient(http::makeCurlHttpClient(context, this->clock))
+        , tables(*this->platformClient, accessTo(settings.platform.tableAddress, settings.platform), settings.platform.tableName)
+        , objects(*this->platformClient, accessTo(settings.platform.objectAddress, settings.platform), settings.platform.bucket)
+        , hostList(*this->platformClient, settings.platform.hostListAddress, settings.platform.hostListTarget)
+        , store(this->tables, this->objects, this->clock)
+        , leases(this->strand, this->clock, this->network, this->board, settings.id, this->incarnation)
+        , configs(this->strand, this->clock, this->store, this->network, this->board, this->leases, settings.storePollInterval)
+        , roster(this->strand, this->clock, this->store, this->hostList, this->configs, this->leases, this->random, settings.shardCount)
+        , shareSource(this->board)
+        , rates(this->shareSource, this->clock.now())
+        , borrower(limits::BorrowSettings{}, this->random)
+        , retries(limits::RetryBudgetSettings{})
+        , overload(overloadSettings(settings.limits))
+        , chooser(this->random, settings.failureDomain)
+        , owner(this->clock, this->board, *this->backendClient, this->slots, this->ejections, this->random, *this->spans)
+        , pools(this->strand,
+                this->clock,
+                this->board,
+                settings.id,
+                this->network,
+                this->owner,
+                this->ejections,
+                this->random,
+                this->metrics)
+        , forwarder(this->clock, this->network, this->peerHealth)
+        , home({this->clock,
+                this->board,
+                settings.id,
+                this->rates,
+                this->borrower,
+                this->retries,
+                this->chooser,
+                this->owner,
+                this->forwarder,
+                this->network,
+                this->store,
+                this->random,
+                *this->spans})
+        , pipeline({context.get_executor(),
+                    this->clock,
+                    this->board,
+                    settings.id,
+                    this->overload,
+                    this->home,
+                    this->forwarder,
+                    this->random,
+                    *this->spans,
+                    this->metrics})
+        , dispatcher({context.get_executor(),
+                      this->strand,
+                      this->clock,
+                      this->leases,
+                      this->configs,
+                      this->pools,
+                      this->home,
+                      this->owner,
+                      this->random})
+        , callerServer(http::makeRestinioServer(context, settings.callerAddress, callerLimits(settings.limits), this->pipeline))
+        , drain(
+              this->strand,
+              this->clock,
+              this->board,
+              this->leases,
+              this->roster,
+              this->pipeline,
+              [this] {
+                  return this->dispatcher.requestsInProgress();
+              },
+              *this->callerServer,
+              std::move(whenDrained))
+        , operators(OperatorService::Parts{this->strand,
+                                           this->clock,
+                                           this->board,
+                                           settings.id,
+                                           settings.operatorCredential,
+                                           this->configs,
+                                           this->leases,
+                                           this->pools,
+                                           this->owner,
+                                           this->slots,
+                                           this->roster,
+                                           this->pipeline,
+                                           this->drain,
+                                           this->metrics,
+                                           {}})
+        , operatorServer(http::makeRestinioServer(context, settings.operatorAddress, operatorLimits(), this->operators))
+        , slotTimer(this->strand)
+        , housekeepingTimer(this->strand)
+    {
+        if (settings.allowsLinkFaults) {
+            this->operators.allowLinkFaults([this](const HostId &peer, bool dropIncoming, bool dropOutgoing) {
+                this->linkFaults->set(peer, dropIncoming, dropOutgoing);
+            });
+        }
+    }
+
+    std::error_code open(const settings::HostSettings &settings)
+    {
+        if (const auto error = this->network.start(this->dispatcher)) {
+            return error;
+        }
+        if (const auto error = this->operatorServer->start()) {
+            return error;
+        }
+        if (const auto error = this->callerServer->start()) {
+            return error;
+        }
+        const config::Host row{settings.id,
+                               this->incarnation,
+                               this->callerServer->boundAddress(),
+                               this->network.boundAddress(),
+                               this->operatorServer->boundAddress(),
+                               settings.failureDomain,
+                               config::HostState::Active};
+        this->roster.setOwnRow(row);
+        logEvent(LogLevel::Info,
+                 "listening",
+                 {{"host", settings.id.text()},
+                  {"caller", row.callerAddress.text()},
+                  {"peer", row.peerAddress.text()},
+                  {"operator", row.operatorAddress.text()}});
+        return {};
+    }
+
+    void startControllers()
+    {
+        asio::post(this->strand, [this] {
+            this->leases.onChanged([this] {
+                this->owner.onLeasesChanged();
+                this->notePhase();
+            });
+            this->configs.onPolled([this] {
+                this->roster.onPolled();
+            });
+            this->configs.start();
+            this->leases.start();
+            this->pools.start();
+            this->advanceSlots();
+            this->keepHouse();
+        });
+    }
+
+    void notePhase()
+    {
+        auto expected = blackboard::Phase::Starting;
+        if (this->leases.freshness().holds(this->clock.now())) {
+            this->board.phase.compare_exchange_strong(expected, blackboard::Phase::Serving);
+        }
+    }
+
+    void advanceSlots()
     {
-        this->target->onMessage(sender, message, std::move(reply));
+        this->owner.advance();
+        this->slotTimer.expires_after(SlotInterval);
+        this->slotTimer.async_wait([this](const std::error_code &error) {
+            if (!error) {
+                this->advanceSlots();
+            }
+        });
     }
 
-    peer::PeerMessageHandler *target = nullptr;
+    void keepHouse()
+    {
+        const auto now = this->clock.now();
+        this->rates.dropIdle(IdleRateTime, now);
+        this->borrower.dropIdle(now);
+        this->retries.dropIdle(now);
+        this->overload.dropIdle();
+        this->setGauges(now);
+        this->housekeepingTimer.expires_after(HousekeepingInterval);
+        this->housekeepingTimer.async_wait([this](const std::error_code &error) {
+            if (!error) {
+                this->keepHouse();
+            }
+        });
+    }
+
+    void setGauges(MonotonicTime now)
+    {
+        const auto freshness = this->leases.freshness();
+        const auto freshFor = freshness.holds(now) ? std::chrono::duration<double>(freshness.deadline - now).count() : 0.0;
+        this->metrics.set(Gauge::FreshForSeconds, freshFor);
+        this->metrics.set(Gauge::AppliedVersion, static_cast<double>(freshness.version.count()));
+        this->metrics.set(Gauge::SettledVersion, static_cast<double>(freshness.settled.count()));
+        this->metrics.set(Gauge::StoreReachable, this->configs.isStoreReachable() ? 1 : 0);
+        this->metrics.set(Gauge::ServersOwned, static_cast<double>(this->owner.ownedServers().size()));
+        this->metrics.set(Gauge::ServersEjected, static_cast<double>(this->pools.ejections().size()));
+        this->metrics.set(Gauge::RequestsInProgress, this->pipeline.requestsInProgress());
+        this->metrics.set(Gauge::RateEntries, static_cast<double>(this->rates.entryCount()));
+        double owned = 0;
+        double votes = 0;
+        if (const auto view = this->board.leases.read()) {
+            for (std::uint32_t shard = 0; shard < view->shards.size(); ++shard) {
+                owned += view->owns(ShardId(shard), now) ? 1 : 0;
+                votes += static_cast<double>(view->shards[shard].shares.size());
+            }
+        }
+        this->metrics.set(Gauge::ShardsOwned, owned);
+        this->metrics.set(Gauge::VotesHeld, votes);
+        const auto bytes = this->network.controlBytes();
+        this->metrics.countControlBytes(bytes - this->countedControlBytes);
+        this->countedControlBytes = bytes;
+    }
+
+    void close()
+    {
+        this->leases.stop();
+        this->configs.stop();
+        this->pools.stop();
+        this->slotTimer.cancel();
+        this->housekeepingTimer.cancel();
+        this->network.stop();
+        this->callerServer->stop();
+        this->operatorServer->stop();
+    }
+
+    asio::any_io_executor strand;
+    SystemClock clock;
+    SystemRandom random;
+    Incarnation incarnation;
+    telemetry::Metrics metrics;
+    std::unique_ptr<telemetry::SpanExporter> spans;
+    blackboard::Blackboard board;
+    std::shared_ptr<LinkFaults> linkFaults;
+    peer::AsioPeerNetwork network;
+    std::unique_ptr<http::HttpClient> platformClient;
+    std::unique_ptr<http::HttpClient> backendClient;
+    platform::DynamoTableService tables;
+    platform::S3ObjectStore objects;
+    platform::HttpHostList hostList;
+    platform::ChangeLogStore store;
+    LeaseController leases;
+    ConfigController configs;
+    RosterController roster;
+    blackboard::BlackboardShareSource shareSource;
+    limits::RateShares rates;
+    limits::TokenBorrower borrower;
+    limits::RetryBudgets retries;
+    limits::OverloadControl overload;
+    routing::TwoChoicesChooser chooser;
+    health::ServerSlots slots;
+    health::EjectionHolder ejections;
+    ServerOwner owner;
+    PoolController pools;
+    PeerHealth peerHealth;
+    ForwardClient forwarder;
+    HomeService home;
+    RequestPipeline pipeline;
+    PeerDispatcher dispatcher;
+    std::unique_ptr<http::HttpServer> callerServer;
+    DrainController drain;
+    OperatorService operators;
+    std::unique_ptr<http::HttpServer> operatorServer;
+    asio::steady_timer slotTimer;
+    asio::steady_timer housekeepingTimer;
+    std::uint64_t countedControlBytes = 0;
 };
 
+HostProcess::HostProcess(asio::io_context &context, settings::HostSettings hostSettings, std::function<void()> whenDrained)
+    : ioContext(context), settings(std::move(hostSettings)), drained(std::move(whenDrained))
+{
+}
+
+HostProcess::~HostProcess()
+{
+    if (this->parts) {
+        this->parts->close();
+    }
+}
+
+std::error_code HostProcess::start()
+{
+    this->parts = std::make_unique<Parts>(this->ioContext, this->settings, this->drained);
+    if (const auto error = this->parts->open(this->settings)) {
+        return error;
+    }
+    this->parts->startControllers();
+    return {};
+}
+
+void HostProcess::beginDrain()
+{
+    asio::post(this->parts->strand, [this] {
+        this->parts->drain.begin();
+    });
+}
+
 } // namespace rhubarbtiller::host
--- a/packages/host/lib/leasecontroller.cpp
+++ b/packages/host/lib/leasecontroller.cpp
@@ -99,11 +99,8 @@
 {
     const auto state = this->lease.state(now);
     const auto request = this->holder.requestFor(this->self, state, now);
-    if (!request) {
-        return;
-    }
-    const auto reply = this->guardian.onVoteRequest(*request, state, now);
-    this->takeVotes(this->self, *request, now, reply);
+    const auto reply = this->guardian.onVoteRequest(request, state, now);
+    this->takeVotes(this->self, request, now, reply);
 }
 
 void LeaseController::askPeer(const HostId &peer, MonotonicTime now)
@@ -113,23 +110,19 @@
         return;
     }
     const auto request = this->holder.requestFor(peer, this->lease.state(now), now);
-    if (!request) {
-        return;
-    }
     peer::wire::Envelope message;
-    auto body = toWire(*request);
+    auto body = toWire(request);
     body.evidence = toWire(this->lease.evidenceVector(now));
     body.leaving = this->isLeaving;
     message.__set_voteRequest(body);
-    this->network.call(
-        address->second, std::move(message), now + AskTimeout, [this, peer, request = *request, now](peer::PeerOutcome outcome) {
-            if (!outcome.reply || !(*outcome.reply)->__isset.voteReply) {
-                return;
-            }
-            asio::post(this->strand, [this, peer, request, now, reply = *outcome.reply] {
-                this->onReply(peer, request, now, *reply);
-            });
+    this->network.call(address->second, std::move(message), now + AskTimeout, [this, peer, request, now](peer::PeerOutcome outcome) {
+        if (!outcome.reply || !(*outcome.reply)->__isset.voteReply) {
+            return;
+        }
+        asio::post(this->strand, [this, peer, request, now, reply = *outcome.reply] {
+            this->onReply(peer, request, now, *reply);
         });
+    });
 }
 
 void LeaseController::onReply(const HostId &peer,
--- a/packages/host/lib/rostercontroller.cpp
+++ b/packages/host/lib/rostercontroller.cpp
@@ -39,7 +39,6 @@
                                    ConfigController &configController,
                                    LeaseController &leaseController,
                                    RandomSource &random,
-                                   config::Host ownRow,
                                    std::uint32_t shardCount)
     : strand(std::move(controlStrand))
     , clock(systemClock)
@@ -48,7 +47,6 @@
     , configs(configController)
     , leases(leaseController)
     , randomSource(random)
-    , self(std::move(ownRow))
     , initialShardCount(shardCount)
 {
 }
--- a/packages/host/lib/wirecodec.cpp
+++ b/packages/host/lib/wirecodec.cpp
@@ -46,6 +46,7 @@
 {
     peer::wire::EvidenceVector message;
     message.storeVersion = static_cast<std::int64_t>(evidence.storeVersion.count());
+    message.settledVersion = static_cast<std::int64_t>(evidence.settledVersion.count());
     message.storeAgeMicros = evidence.storeAge ? microsRoundedUp(*evidence.storeAge) : NoTime;
     for (const auto &witness : evidence.witnesses) {
         peer::wire::WitnessEvidence entry;
@@ -61,6 +62,7 @@
 {
     membership::EvidenceVector evidence;
     evidence.storeVersion = ConfigVersion(static_cast<std::uint64_t>(message.storeVersion));
+    evidence.settledVersion = ConfigVersion(static_cast<std::uint64_t>(message.settledVersion));
     if (message.storeAgeMicros >= 0) {
         evidence.storeAge = microseconds(message.storeAgeMicros);
     }
--- a/packages/peer/include/rhubarbtiller/peer/asiopeernetwork.h
+++ b/packages/peer/include/rhubarbtiller/peer/asiopeernetwork.h
@@ -30,12 +30,14 @@
 class AsioPeerNetwork : public PeerNetwork
 {
 public:
-    /// Precondition: \p context, \p systemClock and \p messageHandler outlive this object.
-    AsioPeerNetwork(asio::io_context &context, const Clock &systemClock, PeerOptions peerOptions, PeerMessageHandler &messageHandler);
+    /// Precondition: \p context and \p systemClock outlive this object.
+    AsioPeerNetwork(asio::io_context &context, const Clock &systemClock, PeerOptions peerOptions);
     ~AsioPeerNetwork() override;
 
-    /// Binds the address and begins to accept. Precondition: called once. Thread safety: one thread.
-    std::error_code start();
+    /// Binds the address and begins to hand messages to \p messageHandler.
+    ///
+    /// Precondition: called once; \p messageHandler outlives this object. Thread safety: one thread.
+    std::error_code start(PeerMessageHandler &messageHandler);
 
     /// Returns the address with the port that was bound. Precondition: started.
     Endpoint boundAddress() const;
--- a/packages/peer/lib/asiopeernetwork.cpp
+++ b/packages/peer/lib/asiopeernetwork.cpp
@@ -17,9 +17,8 @@
 
 struct AsioPeerNetwork::Core : std::enable_shared_from_this<Core>
 {
-    Core(asio::io_context &context, const Clock &clock, PeerOptions peerOptions, PeerMessageHandler &messageHandler)
+    Core(asio::io_context &context, const Clock &clock, PeerOptions peerOptions)
         : options(std::move(peerOptions))
-        , handler(messageHandler)
         , links(new LinkContext{context, clock, Handshake(this->options.self, this->options.credential), this->options.filter})
         , acceptor(context)
         , pause(context)
@@ -51,7 +50,7 @@
             });
             return;
         }
-        auto link = std::make_shared<IncomingLink>(this->links, this->handler, std::move(socket));
+        auto link = std::make_shared<IncomingLink>(this->links, *this->handler, std::move(socket));
         {
             const std::lock_guard lock(this->mutex);
             this->incoming.insert(link);
@@ -64,7 +63,7 @@
     }
 
     PeerOptions options;
-    PeerMessageHandler &handler;
+    PeerMessageHandler *handler = nullptr;
     std::shared_ptr<LinkContext> links;
     asio::ip::tcp::acceptor acceptor;
     asio::steady_timer pause;
@@ -73,11 +72,8 @@
     std::set<std::shared_ptr<IncomingLink>> incoming;
 };
 
-AsioPeerNetwork::AsioPeerNetwork(asio::io_context &context,
-                                 const Clock &systemClock,
-                                 PeerOptions peerOptions,
-                                 PeerMessageHandler &messageHandler)
-    : core(std::make_shared<Core>(context, systemClock, std::move(peerOptions), messageHandler))
+AsioPeerNetwork::AsioPeerNetwork(asio::io_context &context, const Clock &systemClock, PeerOptions peerOptions)
+    : core(std::make_shared<Core>(context, systemClock, std::move(peerOptions)))
 {
 }
 
@@ -86,8 +82,9 @@
     this->stop();
 }
 
-std::error_code AsioPeerNetwork::start()
+std::error_code AsioPeerNetwork::start(PeerMessageHandler &messageHandler)
 {
+    this->core->handler = &messageHandler;
     const auto endpoint = parseEndpoint(this->core->options.bindAddress);
     if (!endpoint) {
         return make_error_code(PeerError::AddressInUse);
--- a/packages/peer/peer.thrift
+++ b/packages/peer/peer.thrift
@@ -14,6 +14,8 @@
   // -1 when no read of the store is known.
   2: i64 storeAgeMicros = -1
   3: list<WitnessEvidence> witnesses
+  // The newest version that the sender knows to be settled.
+  4: i64 settledVersion
 }
 
 struct VoteRequest {
--- a/packages/peer/unittests/asiopeernetworktest.cpp
+++ b/packages/peer/unittests/asiopeernetworktest.cpp
@@ -13,6 +13,15 @@
 using namespace rhubarbtiller;
 using namespace rhubarbtiller::peer;
 
+static PeerOptions optionsFor(const std::string &name, const std::string &credential)
+{
+    PeerOptions options;
+    options.self = HostId(name);
+    options.bindAddress = Endpoint("127.0.0.1:0");
+    options.credential = credential;
+    return options;
+}
+
 namespace {
 
 /// Answers forwarded requests with their id and leaves vote requests unanswered.
@@ -43,11 +52,11 @@
 struct Pair
 {
     explicit Pair(const std::string &secondCredential = "0123456789abcdef")
-        : first(this->context, this->clock, {HostId("first"), Endpoint("127.0.0.1:0"), "0123456789abcdef", nullptr}, this->firstHandler)
-        , second(this->context, this->clock, {HostId("second"), Endpoint("127.0.0.1:0"), secondCredential, nullptr}, this->secondHandler)
+        : first(this->context, this->clock, optionsFor("first", "0123456789abcdef"))
+        , second(this->context, this->clock, optionsFor("second", secondCredential))
     {
-        REQUIRE_FALSE(this->first.start());
-        REQUIRE_FALSE(this->second.start());
+        REQUIRE_FALSE(this->first.start(this->firstHandler));
+        REQUIRE_FALSE(this->second.start(this->secondHandler));
         this->thread = std::thread([this] {
             this->context.run();
         });
@@ -141,10 +150,13 @@
 TEST_CASE("garbage and oversized frames before the handshake close the connection")
 {
     Pair pair;
-    const auto &text = pair.second.boundAddress().text();
+    const auto text = pair.second.boundAddress().text();
     const auto port = static_cast<std::uint16_t>(std::stoi(text.substr(text.rfind(':') + 1)));
-    for (const std::string &bytes :
-         {std::string("\xff\xff\xff\xff", 4), std::string("\0\0\0\x04oops", 8), std::string("GET / HTTP/1.1\r\n\r\n")}) {
+    std::vector<std::string> inputs;
+    inputs.emplace_back("\xff\xff\xff\xff", 4);
+    inputs.emplace_back("\0\0\0\x04oops", 8);
+    inputs.emplace_back("GET / HTTP/1.1\r\n\r\n");
+    for (const auto &bytes : inputs) {
         asio::io_context context;
         asio::ip::tcp::socket socket(context);
         socket.connect({asio::ip::make_address("127.0.0.1"), port});
