--- a/packages/health/include/rhubarbtiller/health/outlierdetector.h
+++ b/packages/health/include/rhubarbtiller/health/outlierdetector.h
@@ -12,6 +12,8 @@
 struct OutlierSettings
 {
     Duration period = std::chrono::seconds(1);
+    /// Reports on the same moment arrive up to this far apart: one period, and the jitter of timers and network.
+    Duration reportSkew = std::chrono::milliseconds(1100);
     /// Failure rates of the rest of the pool below this are treated as this, so that rare single failures are no evidence.
     double leastFailureRate = 0.01;
     /// Servers of one pool differ without being ill; the pool's rate is raised by this factor before the test.
@@ -26,8 +28,9 @@
 /// probability is below 10^-(13 - 10 * sensitivity) and either two buckets show failures beyond the pool's rate or
 /// the one bucket that does mostly succeeds on at least two other servers. Slow answers are tested in the same way over
 /// all buckets. A failing organisation raises the rate of its bucket on all servers and a bad hour raises all rates,
-/// so neither makes an outlier. Three window lengths are tested: short ones find hard failures fast, long ones find
-/// rare failures.
+/// so neither makes an outlier. Reports of the servers arrive at different moments; a server must be an outlier against the
+/// rest of the pool a little earlier, at the same time and a little later. Three window lengths are tested: short ones find hard failures
+/// fast, long ones find rare failures.
 class OutlierDetector : public OutlierPolicy
 {
 public:
@@ -52,15 +55,15 @@
         void add(const Counts &other);
     };
 
-    struct Period
+    struct Report
     {
-        std::int64_t index = 0;
+        MonotonicTime at;
         Counts counts;
     };
 
     struct Server
     {
-        std::deque<Period> periods;
+        std::deque<Report> reports;
         HoldTime hold;
     };
 
@@ -83,9 +86,10 @@
         double latency = 0;
     };
 
-    std::int64_t periodIndex(MonotonicTime now) const;
-    Counts sum(const Server &server, std::int64_t first, std::int64_t last) const;
-    PoolCounts poolCounts(std::int64_t first, std::int64_t last) const;
+    Counts sum(const Server &server, MonotonicTime after, MonotonicTime last) const;
+    std::vector<Counts> sums(MonotonicTime after, MonotonicTime last) const;
+    PoolCounts poolCounts(const std::vector<Counts> &all) const;
+    std::vector<Finding> findings(std::int64_t windowLength, MonotonicTime now) const;
     void include(const Counts &counts, PoolCounts &pool, int sign) const;
     std::uint64_t slowAnswers(const Counts &counts, double poolLatency) const;
     Finding testFailures(const Counts &subject, const PoolCounts &rest) const;
--- a/packages/health/lib/outlierdetector.cpp
+++ b/packages/health/lib/outlierdetector.cpp
@@ -98,15 +98,11 @@
     counts.slow = std::min<std::uint64_t>(sample.slowAnswers, counts.answers);
     counts.latencySum = static_cast<double>(sample.medianLatency.count()) * static_cast<double>(counts.answers);
 
-    auto &periods = this->servers[sample.server].periods;
-    const std::int64_t index = this->periodIndex(now);
-    if (periods.empty() || periods.back().index < index) {
-        periods.push_back(Period{index, {}});
-    }
-    periods.back().counts.add(counts);
-    // The rest of the pool is summed over one period more at each end.
-    while (periods.front().index < index - WindowLengths.back() - 2) {
-        periods.pop_front();
+    auto &reports = this->servers[sample.server].reports;
+    reports.push_back(Report{now, counts});
+    // The rest of the pool is summed over a longer time at both ends.
+    while (reports.front().at <= now - this->settings.period * WindowLengths.back() - this->settings.reportSkew * 2) {
+        reports.pop_front();
     }
 }
 
@@ -120,17 +116,13 @@
     this->servers.erase(server);
 }
 
-std::int64_t OutlierDetector::periodIndex(MonotonicTime now) const
-{
-    return now.time_since_epoch() / this->settings.period;
-}
-
-OutlierDetector::Counts OutlierDetector::sum(const Server &server, std::int64_t first, std::int64_t last) const
+/// Sums the reports that arrived later than \p after and until \p last.
+OutlierDetector::Counts OutlierDetector::sum(const Server &server, MonotonicTime after, MonotonicTime last) const
 {
     Counts counts;
-    for (const Period &period : server.periods) {
-        if (period.index >= first && period.index <= last) {
-            counts.add(period.counts);
+    for (auto report = server.reports.rbegin(); report != server.reports.rend() && report->at > after; ++report) {
+        if (report->at <= last) {
+            counts.add(report->counts);
         }
     }
     return counts;
@@ -138,6 +130,11 @@
 
 OutlierDetector::Finding OutlierDetector::testFailures(const Counts &subject, const PoolCounts &rest) const
 {
+    if (std::all_of(subject.failures.begin(), subject.failures.end(), [](std::uint64_t count) {
+            return count == 0;
+        })) {
+        return {};
+    }
     double sumOfLogs = 0;
     double bestSingle = 0;
     std::size_t tested = 0;
@@ -190,15 +187,24 @@
     return poolLatency > 0 && latency > factor * poolLatency ? std::max(counts.slow, half) : counts.slow;
 }
 
-OutlierDetector::PoolCounts OutlierDetector::poolCounts(std::int64_t first, std::int64_t last) const
+/// Returns the sums of all servers, in the order of the table.
+std::vector<OutlierDetector::Counts> OutlierDetector::sums(MonotonicTime after, MonotonicTime last) const
 {
-    PoolCounts pool;
     std::vector<Counts> all;
-    std::vector<double> latencies;
+    all.reserve(this->servers.size());
     for (const auto &[id, server] : this->servers) {
-        all.push_back(this->sum(server, first, last));
-        if (all.back().answers > 0) {
-            latencies.push_back(all.back().latencySum / static_cast<double>(all.back().answers));
+        all.push_back(this->sum(server, after, last));
+    }
+    return all;
+}
+
+OutlierDetector::PoolCounts OutlierDetector::poolCounts(const std::vector<Counts> &all) const
+{
+    PoolCounts pool;
+    std::vector<double> latencies;
+    for (const Counts &counts : all) {
+        if (counts.answers > 0) {
+            latencies.push_back(counts.latencySum / static_cast<double>(counts.answers));
         }
     }
     if (!latencies.empty()) {
@@ -229,39 +235,66 @@
     apply(pool.slowAnswers, this->slowAnswers(counts, pool.latency));
 }
 
+/// Returns the strongest finding on each server in one window, in the order of the table.
+std::vector<OutlierDetector::Finding> OutlierDetector::findings(std::int64_t windowLength, MonotonicTime now) const
+{
+    // A report is judged when the reports of all servers on the same moment can be here. The rest of the pool is taken
+    // at three shifts and the weakest evidence counts, so that the start or end of a common fault is nobody's fault.
+    const Duration skew = this->settings.reportSkew;
+    const MonotonicTime last = now - skew;
+    const MonotonicTime after = last - this->settings.period * windowLength;
+    const std::array<std::vector<Counts>, 3> shifted{
+        this->sums(after - skew, last - skew), this->sums(after, last), this->sums(after + skew, now)};
+    const std::vector<Counts> &subjects = shifted[1];
+    std::vector<Finding> failures(subjects.size());
+    std::vector<Finding> latencies(subjects.size());
+    for (std::size_t shift = 0; shift < shifted.size(); ++shift) {
+        const PoolCounts pool = this->poolCounts(shifted[shift]);
+        for (std::size_t server = 0; server < subjects.size(); ++server) {
+            PoolCounts rest = pool;
+            this->include(shifted[shift][server], rest, -1);
+            const Finding failure = this->testFailures(subjects[server], rest);
+            if (shift == 0 || failure.logProbability > failures[server].logProbability) {
+                failures[server] = failure;
+            }
+            const Finding latency = this->testLatency(subjects[server], rest);
+            if (shift == 0 || latency.logProbability > latencies[server].logProbability) {
+                latencies[server] = latency;
+            }
+        }
+    }
+    for (std::size_t server = 0; server < subjects.size(); ++server) {
+        if (latencies[server].logProbability < failures[server].logProbability) {
+            failures[server] = latencies[server];
+        }
+    }
+    return failures;
+}
+
 std::vector<Verdict> OutlierDetector::judge(MonotonicTime now)
 {
-    const std::int64_t current = this->periodIndex(now);
     for (auto &[id, server] : this->servers) {
         if (server.hold.finish(now)) {
             // The evidence before the ejection says nothing about the server after its return.
-            server.periods.clear();
+            server.reports.clear();
         }
     }
 
-    std::map<BackendServerId, Finding> worst;
+    std::vector<Finding> worst(this->servers.size());
     for (const std::int64_t length : WindowLengths) {
-        // Reports of the same moment arrive up to one period apart. The newest period is judged when the reports of all
-        // servers can be here, and the rest of the pool is summed over one more period at each end.
-        const std::int64_t last = current - 1;
-        const std::int64_t first = last - length + 1;
-        const PoolCounts pool = this->poolCounts(first - 1, current);
-        for (const auto &[id, server] : this->servers) {
-            const Counts subject = this->sum(server, first, last);
-            PoolCounts rest = pool;
-            this->include(this->sum(server, first - 1, current), rest, -1);
-            for (const Finding &finding : {this->testFailures(subject, rest), this->testLatency(subject, rest)}) {
-                if (finding.logProbability < worst[id].logProbability) {
-                    worst[id] = finding;
-                }
+        const std::vector<Finding> found = this->findings(length, now);
+        for (std::size_t server = 0; server < found.size(); ++server) {
+            if (found[server].logProbability < worst[server].logProbability) {
+                worst[server] = found[server];
             }
         }
     }
 
     const double needed = 13.0 - 10.0 * this->sensitivity;
     std::vector<std::pair<double, Verdict>> ranked;
+    std::size_t position = 0;
     for (const auto &[id, server] : this->servers) {
-        const Finding &finding = worst[id];
+        const Finding &finding = worst[position++];
         const double strength = std::max(0.0, -finding.logProbability - LogTries) / needed;
         const bool isHeld = server.hold.holds(now);
         if (!isHeld && strength <= 0.5) {
