limits: Start the bucket of a changed limit empty, and refuse receipts of other buckets

Cause: the race test failed now and then (under ThreadSanitizer first): while threads with the old and the new limit race, the floor converted for the new limit was used for a bucket under the old one, which minted the ratio of the rates. Change: a changed limit closes the bucket and the next one starts empty at the last use; receipts carry the serial number of their bucket; a credit at an outdated time is counted from the empty time; a refused use of a bucket that was closed meanwhile is tried again. Conclusion: an organisation restarts at zero tokens on each host when its limit changes, which costs refusals only until its rate has accrued again.

--- a/packages/limits/include/rhubarbtiller/limits/rateshares.h
+++ b/packages/limits/include/rhubarbtiller/limits/rateshares.h
@@ -60,7 +60,9 @@
 /// An entry exists only while it is used. When dropIdle() removes an entry, its hash slot keeps the empty time of the
 /// bucket as a floor, and a later entry of the slot starts with that empty time. The later entry therefore holds at most
 /// the tokens that the removed one would hold, and since only full, idle buckets are removed, it is normally full at
-/// once. Share intervals limit the accrual as always, so nothing accrues for times at which another host carried a share.
+/// once. A changed limit closes the bucket, and the next one starts empty: the thread that makes it may still have the
+/// previous limit, or a later one, so no empty time in the past is right for all of them. Share intervals limit the accrual as always, so
+/// nothing accrues for times at which another host carried a share.
 class RateShares : public RateLimiter
 {
 public:
@@ -98,13 +100,19 @@
 
 private:
     template<class Use>
-    void withBucket(const RateSlice &slice, const TokenLimit &sliceLimit, const CarriedShares &shares, MonotonicTime now, Use use);
-    void raiseFloor(std::size_t slot, MonotonicTime emptyTime);
+    void withBucket(const RateSlice &slice, const TokenLimit &sliceLimit, MonotonicTime now, Use use);
+    /// What a new entry of a hash slot starts with, so that it holds no more than the entries that were removed.
+    struct Floor
+    {
+        std::atomic<std::int64_t> emptyTime;
+        std::atomic<std::int64_t> lastUse;
+    };
+
+    void raiseFloor(std::size_t slot, MonotonicTime emptyTime, MonotonicTime lastUse);
 
     const ShareSource &source;
     ExpiringIndex<RateSlice, TokenBucket> buckets;
-    /// For each hash slot, the empty time that a new entry starts with.
-    std::vector<std::atomic<std::int64_t>> floors;
+    std::vector<Floor> floors;
 };
 
 } // namespace rhubarbtiller::limits
--- a/packages/limits/include/rhubarbtiller/limits/tokenbucket.h
+++ b/packages/limits/include/rhubarbtiller/limits/tokenbucket.h
@@ -25,6 +25,8 @@
 /// Describes a token that was taken, so that it can be given back.
 struct TokenReceipt
 {
+    /// The bucket that gave the token; a bucket under another limit does not accept it.
+    std::uint64_t bucket = 0;
     MonotonicTime takenAt;
     /// How far the take moved the bucket's empty time.
     Duration moved{0};
@@ -40,10 +42,11 @@
 class TokenBucket
 {
 public:
-    /// Makes a bucket that is empty at \p emptyTime, accrues from then on, and accepts no token back that was taken before \p madeAt.
+    /// Makes a bucket that is empty at \p emptyTime and accrues from then on.
     ///
-    /// Precondition: none.
-    TokenBucket(const TokenLimit &limit, MonotonicTime emptyTime, MonotonicTime madeAt);
+    /// Rate and capacity change by closeIf() and a new bucket. Precondition: \p lastUse is the last use of the buckets that
+    /// this one replaces, or \p emptyTime if there is none.
+    TokenBucket(const TokenLimit &limit, MonotonicTime emptyTime, MonotonicTime lastUse);
 
     TokenBucket(const TokenBucket &) = delete;
     TokenBucket &operator=(const TokenBucket &) = delete;
@@ -95,20 +98,15 @@
     /// Returns whether the bucket was closed; a closed bucket has no tokens. Precondition: none. Thread safety: any thread.
     bool isClosed() const;
 
-    /// Returns the empty time of a bucket with the limit \p next that holds the tokens of one with \p previous, or fewer.
-    ///
-    /// It holds fewer where the shares arrived too recently to have accrued as much at the limit \p next.
-    /// This is how rate and capacity change: convert the empty time, closeIf(), and make a new bucket. Precondition: none. Thread safety:
-    /// any thread.
-    static MonotonicTime emptyTimeAfterChange(const TokenLimit &previous,
-                                              MonotonicTime emptyTime,
-                                              const TokenLimit &next,
-                                              const CarriedShares &shares,
-                                              MonotonicTime now);
+    /// Returns the latest time at which a token was taken, or the one given to the constructor. Precondition: none. Thread safety: any
+    /// thread.
+    MonotonicTime lastUse() const;
 
 private:
     const TokenLimit tokenLimit;
+    const std::uint64_t serial;
     std::atomic<std::int64_t> emptyAt;
+    std::atomic<std::int64_t> lastUsedAt;
     /// The last take that found the bucket more than half full; a token taken before is not accepted back.
     std::atomic<std::int64_t> lastMoreThanHalfFull;
     /// How far tokens given back moved the empty time since then.
--- a/packages/limits/lib/rateshares.cpp
+++ b/packages/limits/lib/rateshares.cpp
@@ -1,6 +1,6 @@
 #include <rhubarbtiller/limits/rateshares.h>
 
-#include <limits>
+#include <algorithm>
 
 namespace rhubarbtiller::limits {
 
@@ -27,38 +27,52 @@
 RateShares::RateShares(const ShareSource &shareSource, MonotonicTime start) : source(shareSource), buckets(SlotCount), floors(SlotCount)
 {
     for (auto &floor : this->floors) {
-        floor.store(start.time_since_epoch().count());
+        floor.emptyTime.store(start.time_since_epoch().count());
+        floor.lastUse.store(start.time_since_epoch().count());
     }
 }
 
-void RateShares::raiseFloor(std::size_t slot, MonotonicTime emptyTime)
+static void raiseTo(std::atomic<std::int64_t> &value, MonotonicTime bound)
 {
-    std::int64_t current = this->floors[slot].load();
-    const std::int64_t wanted = emptyTime.time_since_epoch().count();
-    while (current < wanted && !this->floors[slot].compare_exchange_weak(current, wanted)) { }
+    std::int64_t current = value.load();
+    const std::int64_t wanted = bound.time_since_epoch().count();
+    while (current < wanted && !value.compare_exchange_weak(current, wanted)) { }
 }
 
-// Calls use(bucket) with the open bucket of the slice under this limit, in a read-side critical section.
+void RateShares::raiseFloor(std::size_t slot, MonotonicTime emptyTime, MonotonicTime lastUse)
+{
+    raiseTo(this->floors[slot].emptyTime, emptyTime);
+    raiseTo(this->floors[slot].lastUse, lastUse);
+}
+
+// Calls use(bucket) with the open bucket of the slice under this limit, in a read-side critical section. It returns whether it
+// had an effect; if not, and the bucket was closed meanwhile, it is called again with the next bucket.
 template<class Use>
-void RateShares::withBucket(const RateSlice &slice, const TokenLimit &sliceLimit, const CarriedShares &shares, MonotonicTime now, Use use)
+void RateShares::withBucket(const RateSlice &slice, const TokenLimit &sliceLimit, MonotonicTime now, Use use)
 {
     const std::size_t hash = hashOf(slice.organisation);
     const std::size_t slot = this->buckets.slotOf(hash);
     const RcuReadGuard guard;
     while (true) {
         TokenBucket &bucket = *this->buckets.findOrInsert(slice, hash, isOpen, [&] {
-            return std::make_unique<TokenBucket>(sliceLimit, MonotonicTime(Duration(this->floors[slot].load())), now);
+            const Floor &floor = this->floors[slot];
+            return std::make_unique<TokenBucket>(
+                sliceLimit, MonotonicTime(Duration(floor.emptyTime.load())), MonotonicTime(Duration(floor.lastUse.load())));
         });
         if (bucket.limit() == sliceLimit) {
-            use(bucket);
-            return;
+            if (use(bucket) || !bucket.isClosed()) {
+                return;
+            }
+            continue;
         }
         const MonotonicTime emptyTime = bucket.emptyTime();
         if (emptyTime == MonotonicTime::max()) {
             continue;
         }
-        // Raised before the bucket closes: whoever finds it closed makes the next one with this floor.
-        this->raiseFloor(slot, TokenBucket::emptyTimeAfterChange(bucket.limit(), emptyTime, sliceLimit, shares, now));
+        // Raised before the bucket closes: whoever finds it closed makes the next one with this floor, under any limit.
+        // Another thread may have used the bucket at a later time than this thread's `now`.
+        const MonotonicTime at = std::max(now, bucket.lastUse());
+        this->raiseFloor(slot, at, at);
         bucket.closeIf(emptyTime);
     }
 }
@@ -75,13 +89,14 @@
         admission.retryAfter = Duration::max();
         return admission;
     }
-    this->withBucket(slice, sliceLimit, shares, now, [&](TokenBucket &bucket) {
+    this->withBucket(slice, sliceLimit, now, [&](TokenBucket &bucket) {
         if (const auto receipt = bucket.take(shares, now)) {
             admission.verdict = AdmissionVerdict::Admitted;
             admission.receipt = *receipt;
-            return;
+            return true;
         }
         admission.retryAfter = bucket.timeUntilToken(shares, now);
+        return false;
     });
     return admission;
 }
@@ -104,8 +119,9 @@
     if (shares.count == 0 || now >= shares.until || allowsNothing(sliceLimit)) {
         return lent;
     }
-    this->withBucket(slice, sliceLimit, shares, now, [&](TokenBucket &bucket) {
+    this->withBucket(slice, sliceLimit, now, [&](TokenBucket &bucket) {
         lent = bucket.takeMany(wanted, shares, loanTime, now);
+        return lent.count() > 0;
     });
     return lent;
 }
@@ -116,14 +132,15 @@
     if (shares.count == 0 || now >= shares.until || allowsNothing(sliceLimit)) {
         return;
     }
-    this->withBucket(slice, sliceLimit, shares, now, [&](TokenBucket &bucket) {
+    this->withBucket(slice, sliceLimit, now, [&](TokenBucket &bucket) {
         bucket.credit(tokens, shares, now);
+        return true;
     });
 }
 
 void RateShares::onLimitChanged(const OrganisationId &organisation, MonotonicTime now)
 {
-    this->raiseFloor(this->buckets.slotOf(hashOf(organisation)), now);
+    this->raiseFloor(this->buckets.slotOf(hashOf(organisation)), now, now);
 }
 
 std::size_t RateShares::dropIdle(Duration idleTime, MonotonicTime now)
@@ -136,7 +153,7 @@
         if (emptyTime == MonotonicTime::max() || !bucket.isIdle(idleTime, now)) {
             return false;
         }
-        this->raiseFloor(slot, emptyTime);
+        this->raiseFloor(slot, emptyTime, bucket.lastUse());
         return bucket.closeIf(emptyTime);
     });
 }
--- a/packages/limits/lib/tokenbucket.cpp
+++ b/packages/limits/lib/tokenbucket.cpp
@@ -96,16 +96,24 @@
     return emptyAt >= now ? 0 : std::min(now - emptyAt, fillTime);
 }
 
+static std::uint64_t nextSerial()
+{
+    static std::atomic<std::uint64_t> serials{0};
+    return serials.fetch_add(1, std::memory_order_relaxed) + 1;
+}
+
 TokenLimit TokenLimit::dividedBy(std::uint32_t slices) const
 {
     assert(slices != 0 && "a limit has at least one slice");
     return TokenLimit{RequestRate(this->rate.count() / slices), RequestCount(this->burst.count() / slices)};
 }
 
-TokenBucket::TokenBucket(const TokenLimit &limit, MonotonicTime emptyTime, MonotonicTime madeAt)
+TokenBucket::TokenBucket(const TokenLimit &limit, MonotonicTime emptyTime, MonotonicTime lastUse)
     : tokenLimit(limit)
+    , serial(nextSerial())
     , emptyAt(nanoseconds(emptyTime))
-    , lastMoreThanHalfFull(nanoseconds(madeAt))
+    , lastUsedAt(nanoseconds(lastUse))
+    , lastMoreThanHalfFull(std::numeric_limits<std::int64_t>::min())
     , lentUntil(std::numeric_limits<std::int64_t>::min())
 {
 }
@@ -122,14 +130,16 @@
         if (held < times.tokenCost) {
             return std::nullopt;
         }
+        // What is stored before the empty time changes is seen by everybody who sees the changed empty time; others fail
+        // to exchange it.
+        raiseTo(this->lastUsedAt, nowCount);
         if (before > times.fillTime / 2) {
-            // Stored before the empty time changes, so that giveBack() either sees it or fails to exchange the empty time.
             raiseTo(this->lastMoreThanHalfFull, nowCount);
             this->givenBack.store(0);
         }
         const std::int64_t after = ages.accrualFor(held - times.tokenCost);
         if (this->emptyAt.compare_exchange_weak(current, nowCount - after)) {
-            return TokenReceipt{now, Duration(before - after)};
+            return TokenReceipt{this->serial, now, Duration(before - after)};
         }
     }
 }
@@ -156,6 +166,7 @@
         const std::int64_t kept = ages.accrualFor(held - count * times.tokenCost);
         // While the loan is under way, what is kept plus what accrues plus the loan must not exceed the capacity.
         const std::int64_t after = std::min(kept, lendable - (before - kept));
+        raiseTo(this->lastUsedAt, nowCount);
         raiseTo(this->lastMoreThanHalfFull, nowCount);
         raiseTo(this->lentUntil, nowCount + loanTime.count());
         if (this->emptyAt.compare_exchange_weak(current, nowCount - after)) {
@@ -168,6 +179,9 @@
 {
     const LimitTimes times(this->tokenLimit);
     const std::int64_t moved = receipt.moved.count();
+    if (receipt.bucket != this->serial) {
+        return false;
+    }
     std::int64_t current = this->emptyAt.load();
     bool isCounted = false;
     while (true) {
@@ -205,7 +219,12 @@
         const std::int64_t held = ages.held(before);
         const auto added = static_cast<std::int64_t>(std::min(wanted, static_cast<double>(capacity - held)));
         const std::int64_t after = ages.accrualFor(held + added);
-        if (after <= before || this->emptyAt.compare_exchange_weak(current, nowCount - after)) {
+        if (after <= before) {
+            return;
+        }
+        // Counted from the empty time, which is in the future of an outdated `now`.
+        const std::int64_t next = std::max(current, nowCount - times.fillTime) - (after - before);
+        if (this->emptyAt.compare_exchange_weak(current, next)) {
             return;
         }
     }
@@ -261,30 +280,14 @@
     return current != Closed && this->emptyAt.compare_exchange_strong(current, Closed);
 }
 
-bool TokenBucket::isClosed() const
+MonotonicTime TokenBucket::lastUse() const
 {
-    return this->emptyAt.load() == Closed;
+    return MonotonicTime(Duration(this->lastUsedAt.load()));
 }
 
-MonotonicTime TokenBucket::emptyTimeAfterChange(const TokenLimit &previous,
-                                                MonotonicTime emptyTime,
-                                                const TokenLimit &next,
-                                                const CarriedShares &shares,
-                                                MonotonicTime now)
+bool TokenBucket::isClosed() const
 {
-    const std::int64_t nowCount = nanoseconds(now);
-    const LimitTimes previousTimes(previous);
-    const std::int64_t held
-        = ShareAges(shares, previousTimes.fillTime, nowCount).held(accrued(nanoseconds(emptyTime), previousTimes.fillTime, nowCount));
-    if (held == 0) {
-        return std::max(emptyTime, now);
-    }
-    const LimitTimes nextTimes(next);
-    const ShareAges nextAges(shares, nextTimes.fillTime, nowCount);
-    const double converted
-        = std::floor(static_cast<double>(held) / static_cast<double>(previousTimes.tokenCost) * static_cast<double>(nextTimes.tokenCost));
-    const double bounded = std::min(converted, static_cast<double>(nextAges.held(nextTimes.fillTime)));
-    return MonotonicTime(Duration(nowCount - nextAges.accrualFor(static_cast<std::int64_t>(bounded))));
+    return this->emptyAt.load() == Closed;
 }
 
 } // namespace rhubarbtiller::limits
--- a/packages/limits/unittests/fleetsimulation.cpp
+++ b/packages/limits/unittests/fleetsimulation.cpp
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <span>
 
 namespace rhubarbtiller::limits {
 
@@ -35,17 +36,18 @@
 public:
     CarriedShares shares(ShardId shard, MonotonicTime now) const override
     {
-        std::vector<ShareInterval> intervals;
+        std::array<ShareInterval, ShareCount> intervals;
+        std::size_t count = 0;
         for (unsigned guardian = 0; guardian < ShareCount; ++guardian) {
             if (const auto own = this->guarded.find({shard, guardian}); own != this->guarded.end()) {
                 const MonotonicTime since = std::max(own->second.lentUntil, own->second.quietUntil);
                 if (since <= now) {
-                    intervals.push_back(ShareInterval{since, now + VoteLease});
+                    intervals[count++] = ShareInterval{since, now + VoteLease};
                 }
                 continue;
             }
             if (const auto found = this->held.find({shard, guardian}); found != this->held.end()) {
-                intervals.push_back(found->second);
+                intervals[count++] = found->second;
             }
         }
         if (this->fault == Fault::DeadlineIgnored) {
@@ -53,7 +55,7 @@
                 interval.until = MonotonicTime::max();
             }
         }
-        CarriedShares carried = CarriedShares::fromIntervals(intervals, now);
+        CarriedShares carried = CarriedShares::fromIntervals(std::span(intervals).first(count), now);
         if (this->fault == Fault::FreshBucketFull) {
             carried.since.fill(MonotonicTime{});
         }
@@ -294,7 +296,12 @@
 
     std::size_t mostShares(ShardId shard)
     {
-        std::size_t best = this->below(this->hosts.size());
+        auto &[computedAt, best] = this->holders[shard];
+        if (computedAt == this->clock.now()) {
+            return best;
+        }
+        computedAt = this->clock.now();
+        best = this->below(this->hosts.size());
         unsigned bestCount = 0;
         for (std::size_t i = 0; i < this->hosts.size(); ++i) {
             const unsigned count = this->hosts[i].shares(shard, this->hosts[i].localTime(this->clock.now())).count;
@@ -493,6 +500,8 @@
     testing::VirtualClock clock;
     std::vector<SimulatedHost> hosts;
     std::multimap<MonotonicTime, std::pair<std::size_t, Delivery>> inFlight;
+    /// The host with the most shares of a shard, found once for each step.
+    std::map<ShardId, std::pair<MonotonicTime, std::size_t>> holders;
     bool isMeasured = true;
     FleetOutcome outcome;
 };
--- a/packages/limits/unittests/fleettest.cpp
+++ b/packages/limits/unittests/fleettest.cpp
@@ -111,6 +111,9 @@
             if (fault == Fault::RepliesCreditedTwice || fault == Fault::LoanNotDeducted) {
                 options = loanOptions(seed, fault);
             }
+            if (fault == Fault::GivenBackAlways) {
+                options.disturbance = 0;
+            }
             noticed += isWithinRate(options, runFleet(options)) ? 0 : 1;
         }
         MESSAGE(name << ": noticed with " << noticed << " of 3 seeds");
--- a/packages/limits/unittests/ratesharestest.cpp
+++ b/packages/limits/unittests/ratesharestest.cpp
@@ -139,6 +139,25 @@
     }
 }
 
+// Guards against a thread that was delayed between reading its clock and changing the limit: it would convert the bucket at a
+// time before the last use and count the time since then at the new rate as well.
+TEST_CASE("a change of the limit at an outdated time mints nothing")
+{
+    FixedShares source;
+    RateShares rateShares(source, start);
+    const TokenLimit slower{RequestRate(10), RequestCount(100)};
+    const TokenLimit quicker{RequestRate(1000), RequestCount(100)};
+    const MonotonicTime now = start + 1h;
+    CHECK(admitAll(rateShares, slice, slower, now - 5s) == 100);
+    for (int i = 0; i < 10; ++i) {
+        CHECK(rateShares.admit(slice, slower, now).verdict == AdmissionVerdict::Admitted);
+    }
+    // The bucket that replaces the used one may not accrue from the outdated time on.
+    rateShares.admit(slice, quicker, now - 5s);
+    CHECK(admitAll(rateShares, slice, quicker, now) == 0);
+    CHECK(admitAll(rateShares, slice, quicker, now + 10ms) == 10);
+}
+
 // Guards against a token that is given back to the wrong place, twice through a refused admission, or lost for a known "not run".
 TEST_CASE("a token of a request that did not run is given back")
 {
