--- a/packages/testing/include/rhubarbtiller/testing/fakehostlist.h
+++ b/packages/testing/include/rhubarbtiller/testing/fakehostlist.h
@@ -37,7 +37,12 @@
     /// Changes the actual hosts; readers see them after the lag. Precondition: none.
     void setHosts(std::vector<platform::ListedHost> hosts)
     {
-        this->versions.emplace_back(this->now() + this->lag, std::move(hosts));
+        const MonotonicTime shownFrom = this->now() + (this->scheduler ? this->lag : Duration(0));
+        // A newer list replaces older ones that would be shown after it.
+        while (this->versions.size() > 1 && this->versions.back().first >= shownFrom) {
+            this->versions.pop_back();
+        }
+        this->versions.emplace_back(shownFrom, std::move(hosts));
     }
 
     /// Returns the faults, to be changed. Precondition: none.
@@ -52,7 +57,7 @@
 private:
     MonotonicTime now() const
     {
-        return this->scheduler ? this->scheduler->now() : MonotonicTime::max() - this->lag;
+        return this->scheduler ? this->scheduler->now() : MonotonicTime();
     }
 
     FaultInjector injector;
--- a/packages/testing/lib/platformstandin.cpp
+++ b/packages/testing/lib/platformstandin.cpp
@@ -237,7 +237,12 @@
     try {
         const Json object = Json::parse(json);
         const auto lag = std::chrono::milliseconds(object.value("lagMs", std::int64_t{0}));
-        this->hostDocuments.emplace_back(SteadyClock::now() + lag, object.at("document").dump());
+        const auto shownFrom = SteadyClock::now() + lag;
+        // A newer document replaces older ones that would be shown after it.
+        while (this->hostDocuments.size() > 1 && this->hostDocuments.back().first >= shownFrom) {
+            this->hostDocuments.pop_back();
+        }
+        this->hostDocuments.emplace_back(shownFrom, object.at("document").dump());
         return true;
     } catch (const std::exception &) {
         return false;
