--- a/packages/platform/include/rhubarbtiller/platform/changelogstore.h
+++ b/packages/platform/include/rhubarbtiller/platform/changelogstore.h
@@ -115,7 +115,7 @@
     void resolve(config::Change change, MonotonicTime deadline, Handler<AppendResult> handler);
 
     /// Stores a snapshot as an object and records it in the head unless a newer one is recorded. Precondition: none.
-    void writeSnapshot(std::shared_ptr<const config::Snapshot> snapshot, MonotonicTime deadline, Handler<Status> handler);
+    void writeSnapshot(const std::shared_ptr<const config::Snapshot> &snapshot, MonotonicTime deadline, Handler<Status> handler);
 
     /// Reads the snapshot that \p head records; an empty one if it records none.
     ///
@@ -130,7 +130,7 @@
     /// Gives up a claim of an attempt that did not run, so that the caller may try again with the same key.
     ///
     /// Precondition: nothing of the attempt ran or will run.
-    void releaseIdempotencyKey(IdempotencyClaim claim, MonotonicTime deadline, Handler<Status> handler);
+    void releaseIdempotencyKey(const IdempotencyClaim &claim, MonotonicTime deadline, Handler<Status> handler);
 
     static constexpr std::uint32_t MaxChangesPerRead = 1000;
 
--- a/packages/platform/lib/claims.cpp
+++ b/packages/platform/lib/claims.cpp
@@ -142,7 +142,7 @@
     std::make_shared<ClaimOperation>(this->tables, this->clock, std::move(claim), deadline, std::move(handler))->write();
 }
 
-void ChangeLogStore::releaseIdempotencyKey(IdempotencyClaim claim, MonotonicTime deadline, Handler<Status> handler)
+void ChangeLogStore::releaseIdempotencyKey(const IdempotencyClaim &claim, MonotonicTime deadline, Handler<Status> handler)
 {
     Transaction transaction;
     transaction.writes.emplace_back(DeleteItem{claimKey(claim), AttributeEquals{AttemptAttribute, claim.attempt.text()}});
--- a/packages/platform/lib/dynamojson.cpp
+++ b/packages/platform/lib/dynamojson.cpp
@@ -161,7 +161,10 @@
     std::size_t position = 0;
     for (const auto &[name, value] : update.set) {
         const std::string number = std::to_string(position++);
-        expression += (expression.empty() ? "SET #set" : ", #set") + number + " = :set" + number;
+        expression += expression.empty() ? "SET #set" : ", #set";
+        expression += number;
+        expression += " = :set";
+        expression += number;
         call["ExpressionAttributeNames"]["#set" + number] = name;
         call["ExpressionAttributeValues"][":set" + number] = encodeValue(value);
     }
--- a/packages/platform/lib/dynamotableservice.cpp
+++ b/packages/platform/lib/dynamotableservice.cpp
@@ -83,24 +83,23 @@
 void DynamoTableService::readItem(ItemKey key, MonotonicTime deadline, Handler<Result<Item>> handler)
 {
     const Json body = encodeGetItem(this->connection->tableName, key);
-    this->connection->call(
-        "GetItem", std::move(body), deadline, [key = std::move(key), handler = std::move(handler)](const Result<Json> &response) {
-            if (!response) {
-                handler(response.error());
-                return;
-            }
-            const auto member = response->find("Item");
-            if (member == response->end()) {
-                handler(make_error_code(PlatformError::NotFound));
-                return;
-            }
-            auto item = decodeItem(*member);
-            if (!item || item->key != key) {
-                handler(make_error_code(PlatformError::Malformed));
-                return;
-            }
-            handler(std::move(*item));
-        });
+    this->connection->call("GetItem", body, deadline, [key = std::move(key), handler = std::move(handler)](const Result<Json> &response) {
+        if (!response) {
+            handler(response.error());
+            return;
+        }
+        const auto member = response->find("Item");
+        if (member == response->end()) {
+            handler(make_error_code(PlatformError::NotFound));
+            return;
+        }
+        auto item = decodeItem(*member);
+        if (!item || item->key != key) {
+            handler(make_error_code(PlatformError::Malformed));
+            return;
+        }
+        handler(std::move(*item));
+    });
 }
 
 /// Takes the items of a response; returns false if it is not a response to this query.
--- a/packages/platform/lib/snapshots.cpp
+++ b/packages/platform/lib/snapshots.cpp
@@ -124,7 +124,7 @@
 
 } // namespace
 
-void ChangeLogStore::writeSnapshot(std::shared_ptr<const config::Snapshot> snapshot, MonotonicTime deadline, Handler<Status> handler)
+void ChangeLogStore::writeSnapshot(const std::shared_ptr<const config::Snapshot> &snapshot, MonotonicTime deadline, Handler<Status> handler)
 {
     std::make_shared<WriteSnapshotOperation>(
         this->tables, this->objects, snapshot->version(), config::encodeSnapshot(*snapshot), deadline, std::move(handler))
--- a/packages/testing/include/rhubarbtiller/testing/rawhttpserver.h
+++ b/packages/testing/include/rhubarbtiller/testing/rawhttpserver.h
@@ -33,7 +33,7 @@
     void respond(const http::HttpResponse &response);
 
     /// Sends bytes as they are and closes the connection afterwards if told so. Precondition: none.
-    void sendRaw(std::string bytes, bool closeAfterwards);
+    void sendRaw(const std::string &bytes, bool closeAfterwards);
 
     /// Lets the next request be read after responses sent with sendRaw(). Precondition: a request is being handled.
     void finishRequest();
--- a/packages/testing/lib/backendstandin.cpp
+++ b/packages/testing/lib/backendstandin.cpp
@@ -515,7 +515,7 @@
 
 static GrayKind grayKindFrom(const std::string &text)
 {
-    static const std::map<std::string, GrayKind> kinds = {{"fail", GrayKind::Fail},
+    static const std::map<std::string, GrayKind> Kinds = {{"fail", GrayKind::Fail},
                                                           {"slow", GrayKind::Slow},
                                                           {"late-answer", GrayKind::LateAnswer},
                                                           {"cut-short", GrayKind::CutShort},
@@ -525,7 +525,7 @@
                                                           {"reset-before", GrayKind::ResetBefore},
                                                           {"reset-after", GrayKind::ResetAfter},
                                                           {"hang", GrayKind::Hang}};
-    return kinds.at(text);
+    return Kinds.at(text);
 }
 
 /// Throws on a member that is not known: a misspelt member would otherwise leave a test without the fault it asks for.
--- a/packages/testing/lib/rawhttpserver.cpp
+++ b/packages/testing/lib/rawhttpserver.cpp
@@ -91,7 +91,7 @@
     this->finishRequest();
 }
 
-void RawConnection::sendRaw(std::string bytes, bool closeAfterwards)
+void RawConnection::sendRaw(const std::string &bytes, bool closeAfterwards)
 {
     if (this->isClosed) {
         return;
