--- a/packages/peer/peer.thrift
+++ b/packages/peer/peer.thrift
@@ -169,3 +169,9 @@
   2: binary nonce
   3: binary mac
 }
+
+// The second frame of the accepting side: HMAC-SHA256 of both nonces and its name, under a key derived for acceptors.
+struct ChallengeAccepted {
+  1: string host
+  2: binary mac
+}
