Merge the adapters' telemetry and peer packages in place of the first ones

Change: the host uses PeerServer, PeerNetwork, LinkFilter by address and the new MessageDeduplicator; link faults name a host of the roster. Conclusion: the first versions are gone.

--- a/packages/host/include/rhubarbtiller/host/operatorservice.h
+++ b/packages/host/include/rhubarbtiller/host/operatorservice.h
@@ -41,14 +41,14 @@
         DrainController &drain;
         telemetry::Metrics &metrics;
         /// Drops messages from and to a peer, for tests of partitions; unset unless the settings allow it.
-        std::function<void(const HostId &peer, bool dropIncoming, bool dropOutgoing)> setLinkFault;
+        std::function<void(const config::Host &peer, bool dropIncoming, bool dropOutgoing)> setLinkFault;
     };
 
     /// Precondition: what \p serviceParts refers to outlives this object.
     explicit OperatorService(Parts serviceParts);
 
     /// Lets operators drop messages from and to peers. Precondition: called before the first request.
-    void allowLinkFaults(std::function<void(const HostId &peer, bool dropIncoming, bool dropOutgoing)> setFault)
+    void allowLinkFaults(std::function<void(const config::Host &peer, bool dropIncoming, bool dropOutgoing)> setFault)
     {
         this->parts.setLinkFault = std::move(setFault);
     }
--- a/packages/host/lib/configcontroller.cpp
+++ b/packages/host/lib/configcontroller.cpp
@@ -8,7 +8,7 @@
 #include <asio/co_spawn.hpp>
 #include <asio/detached.hpp>
 #include <asio/redirect_error.hpp>
-#include <peer_types.h>
+#include <rhubarbtiller/peer/messages.h>
 
 #include <algorithm>
 
--- a/packages/host/lib/homeservice.cpp
+++ b/packages/host/lib/homeservice.cpp
@@ -5,7 +5,7 @@
 #include <rhubarbtiller/base/digest.h>
 #include <rhubarbtiller/telemetry/log.h>
 
-#include <peer_types.h>
+#include <rhubarbtiller/peer/messages.h>
 
 #include <algorithm>
 
--- a/packages/host/lib/hostprocess.cpp
+++ b/packages/host/lib/hostprocess.cpp
@@ -9,19 +9,20 @@
 #include <rhubarbtiller/host/rostercontroller.h>
 #include <rhubarbtiller/http/curlhttpclient.h>
 #include <rhubarbtiller/http/restinioserver.h>
-#include <rhubarbtiller/peer/asiopeernetwork.h>
+#include <rhubarbtiller/peer/peertransport.h>
 #include <rhubarbtiller/platform/dynamotableservice.h>
 #include <rhubarbtiller/platform/httphostlist.h>
 #include <rhubarbtiller/platform/s3objectstore.h>
 #include <rhubarbtiller/telemetry/log.h>
 
+#include <rhubarbtiller/membership/leasetimes.h>
+
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 #include <asio/strand.hpp>
 
 namespace rhubarbtiller::host {
 
-using telemetry::Gauge;
 using telemetry::logEvent;
 using telemetry::LogLevel;
 
@@ -59,6 +60,16 @@
     return {server, platform.region, platform.credential};
 }
 
+static peer::PeerOptions peerOptionsOf(const settings::HostSettings &settings, std::shared_ptr<const peer::LinkFilter> filter)
+{
+    peer::PeerOptions options;
+    options.self = settings.id;
+    options.bind = settings.peerAddress;
+    options.credential = settings.peerCredential;
+    options.filter = std::move(filter);
+    return options;
+}
+
 static limits::OverloadSettings overloadSettings(const settings::LimitSettings &limits)
 {
     limits::OverloadSettings overload;
@@ -74,15 +85,16 @@
         , incarnation(static_cast<std::uint64_t>(this->clock.wallNow().time_since_epoch().count()))
         , spans(telemetry::makeJsonLinesExporter(settings.spanOutput))
         , linkFaults(std::make_shared<LinkFaults>())
-        , network(context, this->clock, {settings.id, settings.peerAddress, settings.peerCredential, this->linkFaults})
+        , peerOptions(peerOptionsOf(settings, this->linkFaults))
+        , network(peer::makePeerNetwork(context, this->clock, this->peerOptions))
         , platformClient(http::makeCurlHttpClient(context, this->clock))
         , backendClient(http::makeCurlHttpClient(context, this->clock))
         , tables(*this->platformClient, accessTo(settings.platform.tableAddress, settings.platform), settings.platform.tableName)
         , objects(*this->platformClient, accessTo(settings.platform.objectAddress, settings.platform), settings.platform.bucket)
         , hostList(*this->platformClient, settings.platform.hostListAddress, settings.platform.hostListTarget)
         , store(this->tables, this->objects, this->clock)
-        , leases(this->strand, this->clock, this->network, this->board, settings.id, this->incarnation)
-        , configs(this->strand, this->clock, this->store, this->network, this->board, this->leases, settings.storePollInterval)
+        , leases(this->strand, this->clock, *this->network, this->board, settings.id, this->incarnation)
+        , configs(this->strand, this->clock, this->store, *this->network, this->board, this->leases, settings.storePollInterval)
         , roster(this->strand, this->clock, this->store, this->hostList, this->configs, this->leases, this->random, settings.shardCount)
         , shareSource(this->board)
         , rates(this->shareSource, this->clock.now())
@@ -95,12 +107,12 @@
                 this->clock,
                 this->board,
                 settings.id,
-                this->network,
+                *this->network,
                 this->owner,
                 this->ejections,
                 this->random,
                 this->metrics)
-        , forwarder(this->clock, this->network, this->peerHealth)
+        , forwarder(this->clock, *this->network, this->peerHealth)
         , home({this->clock,
                 this->board,
                 settings.id,
@@ -110,7 +122,7 @@
                 this->chooser,
                 this->owner,
                 this->forwarder,
-                this->network,
+                *this->network,
                 this->store,
                 this->random,
                 *this->spans})
@@ -133,6 +145,7 @@
                       this->home,
                       this->owner,
                       this->random})
+        , peerServer(peer::makePeerServer(context, this->peerOptions, this->dispatcher))
         , callerServer(http::makeRestinioServer(context, settings.callerAddress, callerLimits(settings.limits), this->pipeline))
         , drain(
               this->strand,
@@ -166,15 +179,15 @@
         , housekeepingTimer(this->strand)
     {
         if (settings.allowsLinkFaults) {
-            this->operators.allowLinkFaults([this](const HostId &peer, bool dropIncoming, bool dropOutgoing) {
-                this->linkFaults->set(peer, dropIncoming, dropOutgoing);
+            this->operators.allowLinkFaults([this](const config::Host &peer, bool dropIncoming, bool dropOutgoing) {
+                this->linkFaults->set(peer.id, peer.peerAddress, dropIncoming, dropOutgoing);
             });
         }
     }
 
     std::error_code open(const settings::HostSettings &settings)
     {
-        if (const auto error = this->network.start(this->dispatcher)) {
+        if (const auto error = this->peerServer->start()) {
             return error;
         }
         if (const auto error = this->operatorServer->start()) {
@@ -186,7 +199,7 @@
         const config::Host row{settings.id,
                                this->incarnation,
                                this->callerServer->boundAddress(),
-                               this->network.boundAddress(),
+                               this->peerServer->boundAddress(),
                                this->operatorServer->boundAddress(),
                                settings.failureDomain,
                                config::HostState::Active};
@@ -256,27 +269,22 @@
     void setGauges(MonotonicTime now)
     {
         const auto freshness = this->leases.freshness();
-        const auto freshFor = freshness.holds(now) ? std::chrono::duration<double>(freshness.deadline - now).count() : 0.0;
-        this->metrics.set(Gauge::FreshForSeconds, freshFor);
-        this->metrics.set(Gauge::AppliedVersion, static_cast<double>(freshness.version.count()));
-        this->metrics.set(Gauge::SettledVersion, static_cast<double>(freshness.settled.count()));
-        this->metrics.set(Gauge::StoreReachable, this->configs.isStoreReachable() ? 1 : 0);
-        this->metrics.set(Gauge::ServersOwned, static_cast<double>(this->owner.ownedServers().size()));
-        this->metrics.set(Gauge::ServersEjected, static_cast<double>(this->pools.ejections().size()));
-        this->metrics.set(Gauge::RequestsInProgress, this->pipeline.requestsInProgress());
-        this->metrics.set(Gauge::RateEntries, static_cast<double>(this->rates.entryCount()));
-        double owned = 0;
-        double votes = 0;
+        this->metrics.setFreshnessAge(membership::FreshnessLeaseDuration - std::max(freshness.deadline - now, Duration::zero()));
+        this->metrics.setAppliedVersion(freshness.version);
+        this->metrics.setSettledVersion(freshness.settled);
+        this->metrics.setPeersConnected(this->peerOptions.traffic->connectedPeers.load());
         if (const auto view = this->board.leases.read()) {
+            std::uint64_t owned = 0;
+            std::uint64_t votes = 0;
             for (std::uint32_t shard = 0; shard < view->shards.size(); ++shard) {
                 owned += view->owns(ShardId(shard), now) ? 1 : 0;
-                votes += static_cast<double>(view->shards[shard].shares.size());
+                votes += view->shards[shard].shares.size();
             }
+            this->metrics.setShardsOwned(owned);
+            this->metrics.setVotesHeld(votes);
         }
-        this->metrics.set(Gauge::ShardsOwned, owned);
-        this->metrics.set(Gauge::VotesHeld, votes);
-        const auto bytes = this->network.controlBytes();
-        this->metrics.countControlBytes(bytes - this->countedControlBytes);
+        const auto bytes = this->peerOptions.traffic->controlBytesSent.load() + this->peerOptions.traffic->controlBytesReceived.load();
+        this->metrics.countControlBytes(ByteCount(bytes - this->countedControlBytes));
         this->countedControlBytes = bytes;
     }
 
@@ -287,7 +295,7 @@
         this->pools.stop();
         this->slotTimer.cancel();
         this->housekeepingTimer.cancel();
-        this->network.stop();
+        this->peerServer->stop();
         this->callerServer->stop();
         this->operatorServer->stop();
     }
@@ -300,7 +308,8 @@
     std::unique_ptr<telemetry::SpanExporter> spans;
     blackboard::Blackboard board;
     std::shared_ptr<LinkFaults> linkFaults;
-    peer::AsioPeerNetwork network;
+    peer::PeerOptions peerOptions;
+    std::unique_ptr<peer::PeerNetwork> network;
     std::unique_ptr<http::HttpClient> platformClient;
     std::unique_ptr<http::HttpClient> backendClient;
     platform::DynamoTableService tables;
@@ -325,6 +334,7 @@
     HomeService home;
     RequestPipeline pipeline;
     PeerDispatcher dispatcher;
+    std::unique_ptr<peer::PeerServer> peerServer;
     std::unique_ptr<http::HttpServer> callerServer;
     DrainController drain;
     OperatorService operators;
--- a/packages/host/lib/linkfaults.cpp
+++ b/packages/host/lib/linkfaults.cpp
@@ -4,31 +4,47 @@
 
 namespace rhubarbtiller::host {
 
-void LinkFaults::set(const HostId &peer, bool dropIncoming, bool dropOutgoing)
+template<class Id>
+static void setMember(std::set<Id> &set, const Id &id, bool isMember)
+{
+    if (isMember) {
+        set.insert(id);
+    } else {
+        set.erase(id);
+    }
+}
+
+void LinkFaults::set(const HostId &id, const Endpoint &address, bool dropIncoming, bool dropOutgoing)
 {
     const std::lock_guard lock(this->writerMutex);
     auto next = std::make_shared<Faults>(*this->faults.read());
-    (*next)[peer] = {dropIncoming, dropOutgoing};
+    setMember(next->silentHosts, id, dropIncoming);
+    setMember(next->silentAddresses, address, dropIncoming);
+    setMember(next->deafHosts, id, dropOutgoing);
+    setMember(next->deafAddresses, address, dropOutgoing);
     this->faults.publish(std::move(next));
     telemetry::logEvent(
-        telemetry::LogLevel::Warning, "link_fault", {{"peer", peer.text()}, {"incoming", dropIncoming}, {"outgoing", dropOutgoing}});
+        telemetry::LogLevel::Warning, "link_fault", {{"peer", id.text()}, {"incoming", dropIncoming}, {"outgoing", dropOutgoing}});
+}
+
+bool LinkFaults::passesTo(const Endpoint &peer) const
+{
+    return !this->faults.read()->deafAddresses.contains(peer);
 }
 
-LinkFaults::Fault LinkFaults::faultOf(const HostId &peer) const
+bool LinkFaults::passesFrom(const Endpoint &peer) const
 {
-    const auto all = this->faults.read();
-    const auto found = all->find(peer);
-    return found == all->end() ? Fault{} : found->second;
+    return !this->faults.read()->silentAddresses.contains(peer);
 }
 
-bool LinkFaults::allowsIncoming(const HostId &peer) const
+bool LinkFaults::passesFromHost(const HostId &sender) const
 {
-    return !this->faultOf(peer).dropsIncoming;
+    return !this->faults.read()->silentHosts.contains(sender);
 }
 
-bool LinkFaults::allowsOutgoing(const HostId &peer) const
+bool LinkFaults::passesToHost(const HostId &sender) const
 {
-    return !this->faultOf(peer).dropsOutgoing;
+    return !this->faults.read()->deafHosts.contains(sender);
 }
 
 } // namespace rhubarbtiller::host
--- a/packages/host/lib/linkfaults.h
+++ b/packages/host/lib/linkfaults.h
@@ -3,8 +3,8 @@
 #include <rhubarbtiller/base/rcucell.h>
 #include <rhubarbtiller/peer/linkfilter.h>
 
-#include <map>
 #include <mutex>
+#include <set>
 
 namespace rhubarbtiller::host {
 
@@ -12,23 +12,23 @@
 class LinkFaults : public peer::LinkFilter
 {
 public:
-    /// Sets which messages of a peer are dropped. Precondition: none. Thread safety: any thread.
-    void set(const HostId &peer, bool dropIncoming, bool dropOutgoing);
+    /// Sets which messages of the peer \p id at \p address are dropped. Precondition: none. Thread safety: any thread.
+    void set(const HostId &id, const Endpoint &address, bool dropIncoming, bool dropOutgoing);
 
-    bool allowsIncoming(const HostId &peer) const override;
-    bool allowsOutgoing(const HostId &peer) const override;
+    bool passesTo(const Endpoint &peer) const override;
+    bool passesFrom(const Endpoint &peer) const override;
+    bool passesFromHost(const HostId &sender) const override;
+    bool passesToHost(const HostId &sender) const override;
 
 private:
-    struct Fault
+    struct Faults
     {
-        bool dropsIncoming = false;
-        bool dropsOutgoing = false;
+        std::set<HostId> silentHosts;
+        std::set<Endpoint> silentAddresses;
+        std::set<HostId> deafHosts;
+        std::set<Endpoint> deafAddresses;
     };
 
-    using Faults = std::map<HostId, Fault>;
-
-    Fault faultOf(const HostId &peer) const;
-
     std::mutex writerMutex;
     RcuCell<Faults> faults{std::make_shared<const Faults>()};
 };
--- a/packages/host/lib/operatorservice.cpp
+++ b/packages/host/lib/operatorservice.cpp
@@ -141,8 +141,12 @@
     if (!document.is_object() || !document.contains("peer") || !document["peer"].is_string()) {
         return jsonResponse(400, R"({"error":"wanted: {\"peer\": id, \"dropIncoming\": flag, \"dropOutgoing\": flag}"})");
     }
-    this->parts.setLinkFault(
-        HostId(document["peer"].get<std::string>()), document.value("dropIncoming", false), document.value("dropOutgoing", false));
+    const auto &hosts = this->parts.configs.snapshot()->hosts();
+    const auto host = hosts.find(HostId(document["peer"].get<std::string>()));
+    if (host == hosts.end()) {
+        return jsonResponse(404, R"({"error":"no such host"})");
+    }
+    this->parts.setLinkFault(host->second, document.value("dropIncoming", false), document.value("dropOutgoing", false));
     return jsonResponse(200, "{}");
 }
 
--- a/packages/host/lib/peerdispatcher.cpp
+++ b/packages/host/lib/peerdispatcher.cpp
@@ -13,7 +13,14 @@
 using routing::Execution;
 using routing::Reason;
 
-PeerDispatcher::PeerDispatcher(const Parts &dispatcherParts) : parts(dispatcherParts)
+/// Longer than a message can wait in the buffers of a paused host whose sender still acts on the outcome.
+static constexpr Duration RequestRetention = std::chrono::minutes(2);
+
+/// Bounds the memory; 500 forwarded requests a second need 60,000 entries over the retention.
+static constexpr std::size_t MaxRememberedRequests = 200'000;
+
+PeerDispatcher::PeerDispatcher(const Parts &dispatcherParts)
+    : parts(dispatcherParts), deduplicator(MaxRememberedRequests, RequestRetention, dispatcherParts.clock.now())
 {
 }
 
@@ -57,7 +64,14 @@
     {
         const std::lock_guard lock(this->mutex);
         // A second copy, or one whose sender has already been told "not run", must not start.
-        if (!this->deduplicator.start(work.id, now)) {
+        const auto decision = this->deduplicator.onForward(work.id, now);
+        if (decision == peer::StartDecision::TableFull) {
+            peer::wire::Envelope envelope;
+            envelope.__set_forwardReply(toWire(WorkOutcome::refused(Reason::HostOverloaded, Execution::NotRun)));
+            reply(std::move(envelope));
+            return;
+        }
+        if (decision != peer::StartDecision::Start) {
             return;
         }
         this->running.emplace(work.id, work.cancel);
@@ -85,7 +99,7 @@
             reply(std::move(envelope));
             {
                 const std::lock_guard lock(this->mutex);
-                this->deduplicator.finish(id, this->parts.clock.now());
+                this->deduplicator.onFinished(id, this->parts.clock.now());
                 this->running.erase(id);
             }
             this->inProgress.fetch_sub(1, std::memory_order_relaxed);
@@ -93,14 +107,14 @@
         asio::detached);
 }
 
-static peer::wire::CancelState::type toWire(peer::CancelOutcome outcome)
+static peer::wire::CancelState::type toWire(peer::CancelDecision outcome)
 {
     switch (outcome) {
-    case peer::CancelOutcome::NeverStarted:
+    case peer::CancelDecision::NeverStarted:
         return peer::wire::CancelState::NEVER_STARTED;
-    case peer::CancelOutcome::Running:
+    case peer::CancelDecision::Running:
         return peer::wire::CancelState::RUNNING;
-    case peer::CancelOutcome::Finished:
+    case peer::CancelDecision::Finished:
         break;
     }
     return peer::wire::CancelState::FINISHED;
@@ -113,7 +127,7 @@
     peer::wire::CancelReply body;
     {
         const std::lock_guard lock(this->mutex);
-        body.state = toWire(this->deduplicator.cancel(id, this->parts.clock.now()));
+        body.state = toWire(this->deduplicator.onCancel(id, this->parts.clock.now()));
         if (const auto found = this->running.find(id); found != this->running.end()) {
             token = found->second;
         }
--- a/packages/host/lib/requestpipeline.cpp
+++ b/packages/host/lib/requestpipeline.cpp
@@ -81,7 +81,7 @@
                                    {"status", std::to_string(status)},
                                    {"execution", std::string(routing::executionWord(execution))},
                                    {"reason", std::string(word)}}});
-    this->parts.metrics.countRequest(word, routing::executionWord(execution));
+    this->parts.metrics.countRequest(routing::executionWord(execution), word);
     if (reason != Reason::None) {
         telemetry::logEvent(telemetry::LogLevel::Debug,
                             "refused",
--- a/packages/host/lib/wirecodec.h
+++ b/packages/host/lib/wirecodec.h
@@ -5,7 +5,7 @@
 #include <rhubarbtiller/membership/freshness.h>
 #include <rhubarbtiller/membership/votes.h>
 
-#include <peer_types.h>
+#include <rhubarbtiller/peer/messages.h>
 
 namespace rhubarbtiller::host {
 
--- a/packages/peer/include/rhubarbtiller/peer/errors.h
+++ b/packages/peer/include/rhubarbtiller/peer/errors.h
@@ -5,15 +5,15 @@
 namespace rhubarbtiller::peer {
 
 enum class PeerError {
-    /// No reply came before the deadline.
     Timeout = 1,
     ConnectionFailed,
-    ConnectionLost,
-    /// One side does not have the shared credential.
-    Unauthenticated,
+    ConnectionBroken,
+    AuthenticationFailed,
+    OversizedMessage,
     MalformedMessage,
-    AddressInUse,
+    QueueFull,
     Stopped,
+    AddressInUse,
 };
 
 /// Returns the error category of this layer. Precondition: none. Thread safety: any thread.
--- a/packages/peer/include/rhubarbtiller/peer/messagededuplicator.h
+++ b/packages/peer/include/rhubarbtiller/peer/messagededuplicator.h
@@ -6,43 +6,54 @@
 #include <cstddef>
 #include <deque>
 #include <unordered_map>
+#include <utility>
 
 namespace rhubarbtiller::peer {
 
-/// What a cancellation found.
-enum class CancelOutcome {
-    /// The request had not started and will not start.
+enum class StartDecision {
+    /// The request is new; it is now running.
+    Start,
+    /// The request runs or has run.
+    Duplicate,
+    /// The request was cancelled before it arrived and must not run.
+    Barred,
+    /// The table is full of requests that it must not forget.
+    TableFull,
+};
+
+enum class CancelDecision {
+    /// The request never started here and never will.
     NeverStarted,
+    /// The request runs, or it cannot be told that it never did.
     Running,
     Finished,
 };
 
-/// Lets each forwarded request start at most once, and bars requests that were cancelled before they arrived.
+/// Remembers the ids of Forward messages, so that none runs twice and a cancelled one never starts.
 ///
-/// Ids are remembered for RetentionTime after a request finished or was barred, longer than a message can wait in the
-/// buffers of a paused host whose sender still acts on the answer. Thread safety: one thread at a time.
+/// Thread safety: one thread.
 class MessageDeduplicator
 {
 public:
-    static constexpr Duration RetentionTime = std::chrono::minutes(2);
-
-    /// Bounds the memory; at 500 forwarded requests a second RetentionTime needs 60,000 entries.
-    static constexpr std::size_t MaxEntries = 200'000;
+    /// Makes an empty table of a process that began at \p startedAt.
+    ///
+    /// Precondition: \p retention is longer than the time in which a message or its Cancel can still arrive.
+    MessageDeduplicator(std::size_t capacity, Duration retention, MonotonicTime startedAt);
 
-    /// Returns whether the request may start, and notes that it runs. Precondition: \p now does not go back.
-    bool start(const RequestId &id, MonotonicTime now);
+    /// Decides whether a request may start. Precondition: \p now does not decrease from call to call.
+    StartDecision onForward(const RequestId &request, MonotonicTime now);
 
-    /// Notes that a request has finished. Precondition: it was started.
-    void finish(const RequestId &id, MonotonicTime now);
+    /// Notes the end of a request. Precondition: onForward() said that it may start.
+    void onFinished(const RequestId &request, MonotonicTime now);
 
-    /// Bars a request that has not started, and tells what is known of it. Precondition: \p now does not go back.
-    CancelOutcome cancel(const RequestId &id, MonotonicTime now);
+    /// Decides about a Cancel; a request that never started is barred from now on.
+    ///
+    /// A process that has started less than the retention ago does not know what its predecessor ran, and does not
+    /// answer NeverStarted. Precondition: \p now does not decrease from call to call.
+    CancelDecision onCancel(const RequestId &request, MonotonicTime now);
 
-    /// Returns the number of ids that are remembered. Precondition: none.
-    std::size_t entryCount() const
-    {
-        return this->states.size();
-    }
+    /// Returns the number of requests remembered. Precondition: none.
+    std::size_t size() const;
 
 private:
     enum class State {
@@ -51,17 +62,14 @@
         Barred,
     };
 
-    struct Expiry
-    {
-        MonotonicTime at;
-        RequestId id;
-    };
-
-    void remember(const RequestId &id, State state, MonotonicTime now);
-    void dropExpired(MonotonicTime now);
+    void forgetOld(MonotonicTime now);
 
+    const std::size_t capacity;
+    const Duration retention;
+    const MonotonicTime knownFrom;
     std::unordered_map<RequestId, State> states;
-    std::deque<Expiry> expiries;
+    /// Ended and barred requests with the time when they may be forgotten, in rising order.
+    std::deque<std::pair<MonotonicTime, RequestId>> forgettable;
 };
 
 } // namespace rhubarbtiller::peer
--- a/packages/peer/lib/errors.cpp
+++ b/packages/peer/lib/errors.cpp
@@ -18,19 +18,23 @@
     {
         switch (static_cast<PeerError>(code)) {
         case PeerError::Timeout:
-            return "no reply before the deadline";
+            return "deadline passed";
         case PeerError::ConnectionFailed:
-            return "connection to the peer failed";
-        case PeerError::ConnectionLost:
-            return "connection to the peer was lost";
-        case PeerError::Unauthenticated:
-            return "peer does not have the shared credential";
+            return "connection to the peer could not be made";
+        case PeerError::ConnectionBroken:
+            return "connection to the peer broke";
+        case PeerError::AuthenticationFailed:
+            return "peer did not prove that it knows the credential";
+        case PeerError::OversizedMessage:
+            return "message is larger than a frame may be";
         case PeerError::MalformedMessage:
-            return "message of the peer is malformed";
-        case PeerError::AddressInUse:
-            return "peer address cannot be bound";
+            return "message is malformed";
+        case PeerError::QueueFull:
+            return "too many messages wait for the peer";
         case PeerError::Stopped:
             return "peer network is stopped";
+        case PeerError::AddressInUse:
+            return "address in use";
         }
         return "unknown peer error";
     }
--- a/packages/peer/lib/handshake.cpp
+++ b/packages/peer/lib/handshake.cpp
@@ -1,70 +1,62 @@
 #include "handshake.h"
 
-#include <rhubarbtiller/base/digest.h>
-#include <rhubarbtiller/base/random.h>
+#include <openssl/crypto.h>
+#include <openssl/evp.h>
+#include <openssl/hmac.h>
+#include <openssl/rand.h>
 
-namespace rhubarbtiller::peer {
-
-static constexpr std::size_t NonceDigits = 32;
-
-static std::string newNonce()
-{
-    SystemRandom random;
-    return randomHex(random, NonceDigits);
-}
-
-Handshake::Handshake(HostId ownId, std::string sharedCredential) : self(std::move(ownId)), credential(std::move(sharedCredential))
-{
-}
+#include <array>
+#include <cstdlib>
 
-wire::Challenge Handshake::challenge() const
-{
-    wire::Challenge message;
-    message.nonce = newNonce();
-    return message;
-}
+namespace rhubarbtiller::peer {
 
-std::string Handshake::responseCode(const std::string &challengeNonce, const wire::ChallengeResponse &response) const
+static std::string hmac(const std::string &key, const std::string &text)
 {
-    return hmacSha256(this->credential, "response\n" + challengeNonce + "\n" + response.nonce + "\n" + response.host);
+    std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
+    unsigned size = 0;
+    HMAC(EVP_sha256(),
+         key.data(),
+         static_cast<int>(key.size()),
+         reinterpret_cast<const unsigned char *>(text.data()),
+         text.size(),
+         digest.data(),
+         &size);
+    return {reinterpret_cast<const char *>(digest.data()), size};
 }
 
-std::string Handshake::proofCode(const wire::ChallengeResponse &response, const std::string &host) const
+static std::string joined(std::string_view first, std::string_view second, std::string_view third)
 {
-    return hmacSha256(this->credential, "proof\n" + response.nonce + "\n" + host);
+    std::string text(first);
+    text += second;
+    text += third;
+    return text;
 }
 
-wire::ChallengeResponse Handshake::respond(const wire::Challenge &challenge) const
+std::string makeNonce()
 {
-    wire::ChallengeResponse response;
-    response.host = this->self.text();
-    response.nonce = newNonce();
-    response.mac = this->responseCode(challenge.nonce, response);
-    return response;
+    std::array<unsigned char, NonceSize> nonce{};
+    if (RAND_bytes(nonce.data(), static_cast<int>(nonce.size())) != 1) {
+        // A predictable nonce would let an old handshake be replayed.
+        std::abort();
+    }
+    return {reinterpret_cast<const char *>(nonce.data()), nonce.size()};
 }
 
-std::optional<HostId> Handshake::verify(const wire::Challenge &challenge, const wire::ChallengeResponse &response) const
+std::string
+connectorProof(const std::string &credential, std::string_view challengeNonce, std::string_view host, std::string_view connectorNonce)
 {
-    if (!isEqualInConstantTime(response.mac, this->responseCode(challenge.nonce, response))) {
-        return std::nullopt;
-    }
-    return HostId(response.host);
+    return hmac(credential, joined(challengeNonce, host, connectorNonce));
 }
 
-wire::ChallengeProof Handshake::prove(const wire::ChallengeResponse &response) const
+std::string
+acceptorProof(const std::string &credential, std::string_view challengeNonce, std::string_view host, std::string_view connectorNonce)
 {
-    wire::ChallengeProof proof;
-    proof.host = this->self.text();
-    proof.mac = this->proofCode(response, proof.host);
-    return proof;
+    return hmac(hmac(credential, "acceptor"), joined(connectorNonce, host, challengeNonce));
 }
 
-std::optional<HostId> Handshake::verify(const wire::ChallengeResponse &response, const wire::ChallengeProof &proof) const
+bool isSameProof(std::string_view left, std::string_view right)
 {
-    if (!isEqualInConstantTime(proof.mac, this->proofCode(response, proof.host))) {
-        return std::nullopt;
-    }
-    return HostId(proof.host);
+    return left.size() == right.size() && CRYPTO_memcmp(left.data(), right.data(), left.size()) == 0;
 }
 
 } // namespace rhubarbtiller::peer
--- a/packages/peer/lib/handshake.h
+++ b/packages/peer/lib/handshake.h
@@ -1,45 +1,28 @@
 #pragma once
 
-#include <rhubarbtiller/base/strongid.h>
-
-#include <peer_types.h>
-
-#include <optional>
 #include <string>
+#include <string_view>
 
 namespace rhubarbtiller::peer {
 
-/// The mutual proof of the shared credential at the beginning of a connection.
-///
-/// The accepting side sends a nonce; the connecting side answers with its name, a nonce of its own and an
-/// HMAC-SHA256 of all of them; the accepting side proves the credential over the connecting side's nonce. The two
-/// codes cover different texts, so that neither can be reflected. Thread safety: any thread.
-class Handshake
-{
-public:
-    Handshake(HostId ownId, std::string sharedCredential);
-
-    /// Returns the first frame's message of the accepting side. Precondition: none.
-    wire::Challenge challenge() const;
+// Fixed, so that the parts of the authenticated text cannot be shifted against each other.
+static constexpr std::size_t NonceSize = 32;
 
-    /// Returns the connecting side's answer. Precondition: none.
-    wire::ChallengeResponse respond(const wire::Challenge &challenge) const;
+/// Returns a fresh random nonce. Thread safety: any thread.
+std::string makeNonce();
 
-    /// Returns the name of the connecting side if it has the credential. Precondition: \p challenge was sent to it.
-    std::optional<HostId> verify(const wire::Challenge &challenge, const wire::ChallengeResponse &response) const;
+/// Returns what a connecting host proves its knowledge of the credential with. Thread safety: any thread.
+std::string
+connectorProof(const std::string &credential, std::string_view challengeNonce, std::string_view host, std::string_view connectorNonce);
 
-    /// Returns the accepting side's proof. Precondition: verify() succeeded.
-    wire::ChallengeProof prove(const wire::ChallengeResponse &response) const;
-
-    /// Returns the name of the accepting side if it has the credential. Precondition: \p response was sent to it.
-    std::optional<HostId> verify(const wire::ChallengeResponse &response, const wire::ChallengeProof &proof) const;
-
-private:
-    std::string responseCode(const std::string &challengeNonce, const wire::ChallengeResponse &response) const;
-    std::string proofCode(const wire::ChallengeResponse &response, const std::string &host) const;
+/// Returns what an accepting host proves its knowledge of the credential with.
+///
+/// The key differs from that of connectors, so that no connector can be used to make the proof of an acceptor.
+/// Thread safety: any thread.
+std::string
+acceptorProof(const std::string &credential, std::string_view challengeNonce, std::string_view host, std::string_view connectorNonce);
 
-    HostId self;
-    std::string credential;
-};
+/// Compares two proofs in a time that does not depend on where they differ. Thread safety: any thread.
+bool isSameProof(std::string_view left, std::string_view right);
 
 } // namespace rhubarbtiller::peer
--- a/packages/peer/lib/linkfilter.cpp
+++ b/packages/peer/lib/linkfilter.cpp
@@ -2,12 +2,22 @@
 
 namespace rhubarbtiller::peer {
 
-bool LinkFilter::allowsIncoming(const HostId &) const
+bool LinkFilter::passesTo(const Endpoint &) const
 {
     return true;
 }
 
-bool LinkFilter::allowsOutgoing(const HostId &) const
+bool LinkFilter::passesFrom(const Endpoint &) const
+{
+    return true;
+}
+
+bool LinkFilter::passesFromHost(const HostId &) const
+{
+    return true;
+}
+
+bool LinkFilter::passesToHost(const HostId &) const
 {
     return true;
 }
--- a/packages/peer/lib/messagededuplicator.cpp
+++ b/packages/peer/lib/messagededuplicator.cpp
@@ -4,48 +4,65 @@
 
 namespace rhubarbtiller::peer {
 
-bool MessageDeduplicator::start(const RequestId &id, MonotonicTime now)
+MessageDeduplicator::MessageDeduplicator(std::size_t maxEntries, Duration retentionTime, MonotonicTime startedAt)
+    : capacity(maxEntries), retention(retentionTime), knownFrom(startedAt + retentionTime)
 {
-    this->dropExpired(now);
-    return this->states.try_emplace(id, State::Running).second;
 }
 
-void MessageDeduplicator::finish(const RequestId &id, MonotonicTime now)
+StartDecision MessageDeduplicator::onForward(const RequestId &request, MonotonicTime now)
 {
-    assert(this->states.contains(id) && "a request must start before it finishes");
-    this->remember(id, State::Finished, now);
+    this->forgetOld(now);
+    if (const auto found = this->states.find(request); found != this->states.end()) {
+        return found->second == State::Barred ? StartDecision::Barred : StartDecision::Duplicate;
+    }
+    if (this->states.size() >= this->capacity) {
+        return StartDecision::TableFull;
+    }
+    this->states.emplace(request, State::Running);
+    return StartDecision::Start;
 }
 
-CancelOutcome MessageDeduplicator::cancel(const RequestId &id, MonotonicTime now)
+void MessageDeduplicator::onFinished(const RequestId &request, MonotonicTime now)
 {
-    this->dropExpired(now);
-    const auto found = this->states.find(id);
-    if (found == this->states.end()) {
-        this->remember(id, State::Barred, now);
-        return CancelOutcome::NeverStarted;
+    const auto found = this->states.find(request);
+    assert(found != this->states.end() && found->second == State::Running && "a request ended that was not running");
+    if (found != this->states.end() && found->second == State::Running) {
+        found->second = State::Finished;
+        this->forgettable.emplace_back(now + this->retention, request);
     }
-    switch (found->second) {
-    case State::Running:
-        return CancelOutcome::Running;
-    case State::Finished:
-        return CancelOutcome::Finished;
-    case State::Barred:
-        break;
+}
+
+CancelDecision MessageDeduplicator::onCancel(const RequestId &request, MonotonicTime now)
+{
+    this->forgetOld(now);
+    if (const auto found = this->states.find(request); found != this->states.end()) {
+        if (found->second == State::Finished) {
+            return CancelDecision::Finished;
+        }
+        if (found->second == State::Running) {
+            return CancelDecision::Running;
+        }
+    } else {
+        if (this->states.size() >= this->capacity) {
+            // The request could not be barred, so it might start later.
+            return CancelDecision::Running;
+        }
+        this->states.emplace(request, State::Barred);
+        this->forgettable.emplace_back(now + this->retention, request);
     }
-    return CancelOutcome::NeverStarted;
+    return now < this->knownFrom ? CancelDecision::Running : CancelDecision::NeverStarted;
 }
 
-void MessageDeduplicator::remember(const RequestId &id, State state, MonotonicTime now)
+std::size_t MessageDeduplicator::size() const
 {
-    this->states[id] = state;
-    this->expiries.push_back({now + RetentionTime, id});
+    return this->states.size();
 }
 
-void MessageDeduplicator::dropExpired(MonotonicTime now)
+void MessageDeduplicator::forgetOld(MonotonicTime now)
 {
-    while (!this->expiries.empty() && (this->expiries.front().at <= now || this->expiries.size() > MaxEntries)) {
-        this->states.erase(this->expiries.front().id);
-        this->expiries.pop_front();
+    while (!this->forgettable.empty() && this->forgettable.front().first <= now) {
+        this->states.erase(this->forgettable.front().second);
+        this->forgettable.pop_front();
     }
 }
 
--- a/packages/peer/peer.thrift
+++ b/packages/peer/peer.thrift
@@ -192,8 +192,8 @@
   3: binary mac
 }
 
-// The second frame of the accepting side: HMAC-SHA256 of the connecting side's nonce, which proves the credential in return.
-struct ChallengeProof {
+// The second frame of the accepting side: HMAC-SHA256 of both nonces and its name, under a key derived for acceptors.
+struct ChallengeAccepted {
   1: string host
   2: binary mac
 }
--- a/packages/telemetry/lib/log.cpp
+++ b/packages/telemetry/lib/log.cpp
@@ -1,125 +1,77 @@
 #include <rhubarbtiller/telemetry/log.h>
 
+#include "logformat.h"
+
+#include <atomic>
+
+#include <fmt/format.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
-#include <algorithm>
-#include <cctype>
-#include <charconv>
-
 namespace rhubarbtiller::telemetry {
 
-LogField::LogField(std::string_view fieldName, std::string_view text) : name(fieldName), value(text)
-{
-}
-
-LogField::LogField(std::string_view fieldName, const char *text) : LogField(fieldName, std::string_view(text))
-{
-}
-
-LogField::LogField(std::string_view fieldName, const std::string &text) : LogField(fieldName, std::string_view(text))
-{
-}
+static std::atomic<LogLevel> lowestLevel{LogLevel::Info};
 
-LogField::LogField(std::string_view fieldName, std::int64_t number) : LogField(fieldName, std::to_string(number))
+static spdlog::logger &standardErrorLogger()
 {
+    static const std::shared_ptr<spdlog::logger> logger = [] {
+        auto made = std::make_shared<spdlog::logger>("rhubarbtiller", std::make_shared<spdlog::sinks::stderr_sink_mt>());
+        made->set_pattern("%v");
+        made->set_level(spdlog::level::trace);
+        return made;
+    }();
+    return *logger;
 }
 
-LogField::LogField(std::string_view fieldName, std::uint64_t number) : LogField(fieldName, std::to_string(number))
+LogField::LogField(std::string_view fieldName, std::string_view text) : name(fieldName), value(text)
 {
 }
 
-LogField::LogField(std::string_view fieldName, int number) : LogField(fieldName, std::to_string(number))
+LogField::LogField(std::string_view fieldName, const char *text) : name(fieldName), value(text == nullptr ? "" : text)
 {
 }
 
-LogField::LogField(std::string_view fieldName, unsigned number) : LogField(fieldName, std::to_string(number))
+LogField::LogField(std::string_view fieldName, const std::string &text) : name(fieldName), value(text)
 {
 }
 
-LogField::LogField(std::string_view fieldName, double number) : LogField(fieldName, std::to_string(number))
+LogField::LogField(std::string_view fieldName, std::int64_t number) : name(fieldName), value(std::to_string(number))
 {
 }
 
-LogField::LogField(std::string_view fieldName, bool flag) : LogField(fieldName, std::string_view(flag ? "true" : "false"))
+LogField::LogField(std::string_view fieldName, std::uint64_t number) : name(fieldName), value(std::to_string(number))
 {
 }
 
-static bool isPlain(unsigned char letter)
+LogField::LogField(std::string_view fieldName, int number) : name(fieldName), value(std::to_string(number))
 {
-    return letter > ' ' && letter < 0x7f && letter != '"' && letter != '\\' && letter != '=';
 }
 
-static void appendValue(std::string &line, std::string_view value)
+LogField::LogField(std::string_view fieldName, unsigned number) : name(fieldName), value(std::to_string(number))
 {
-    if (!value.empty() && std::ranges::all_of(value, isPlain)) {
-        line += value;
-        return;
-    }
-    static constexpr char Digits[] = "0123456789abcdef";
-    line += '"';
-    for (const char letter : value) {
-        const auto code = static_cast<unsigned char>(letter);
-        if (letter == '"' || letter == '\\') {
-            line += '\\';
-            line += letter;
-        } else if (code < ' ' || code == 0x7f) {
-            line += "\\x";
-            line += Digits[code >> 4];
-            line += Digits[code & 0xf];
-        } else {
-            line += letter;
-        }
-    }
-    line += '"';
 }
 
-static spdlog::level::level_enum levelOf(LogLevel level)
+LogField::LogField(std::string_view fieldName, double number) : name(fieldName), value(fmt::format("{:.6g}", number))
 {
-    switch (level) {
-    case LogLevel::Debug:
-        return spdlog::level::debug;
-    case LogLevel::Info:
-        return spdlog::level::info;
-    case LogLevel::Warning:
-        return spdlog::level::warn;
-    case LogLevel::Error:
-        break;
-    }
-    return spdlog::level::err;
 }
 
-static spdlog::logger &logger()
+LogField::LogField(std::string_view fieldName, bool flag) : name(fieldName), value(flag ? "true" : "false")
 {
-    static const auto instance = [] {
-        auto made = spdlog::stderr_logger_mt("rhubarbtiller");
-        made->set_pattern("time=%Y-%m-%dT%H:%M:%S.%eZ level=%l %v", spdlog::pattern_time_type::utc);
-        made->flush_on(spdlog::level::info);
-        return made;
-    }();
-    return *instance;
 }
 
 void logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
 {
-    const auto wanted = levelOf(level);
-    if (!logger().should_log(wanted)) {
+    if (level < lowestLevel.load(std::memory_order_relaxed)) {
         return;
     }
-    std::string line = "event=";
-    line += event;
-    for (const auto &field : fields) {
-        line += ' ';
-        line += field.name;
-        line += '=';
-        appendValue(line, field.value);
-    }
-    logger().log(wanted, spdlog::string_view_t(line.data(), line.size()));
+    const std::string line = formatLogLine(std::chrono::system_clock::now(), level, event, fields);
+    // The line is passed as an argument, so that braces in a value are not read as a format.
+    standardErrorLogger().log(spdlog::level::info, "{}", line);
 }
 
 void setLogLevel(LogLevel level)
 {
-    logger().set_level(levelOf(level));
+    lowestLevel.store(level, std::memory_order_relaxed);
 }
 
 } // namespace rhubarbtiller::telemetry
--- a/packages/telemetry/lib/span.cpp
+++ b/packages/telemetry/lib/span.cpp
@@ -1,8 +1,9 @@
 #include <rhubarbtiller/telemetry/span.h>
 
+#include "otlpjson.h"
+
 #include <algorithm>
-#include <atomic>
-#include <cctype>
+#include <cassert>
 #include <condition_variable>
 #include <cstdio>
 #include <deque>
@@ -11,101 +12,27 @@
 
 namespace rhubarbtiller::telemetry {
 
-static constexpr std::size_t TraceIdDigits = 32;
-static constexpr std::size_t SpanIdDigits = 16;
-
-/// Length of "00-<trace>-<span>-<flags>".
-static constexpr std::size_t HeaderLength = 55;
-
-/// Spans that wait for the writer; more are dropped so that a slow output never delays a request.
+// About a second of spans at the target rate of one host; a longer queue would only use memory while the disk is slow.
 static constexpr std::size_t MaxQueuedSpans = 4096;
 
-static bool isLowerHex(std::string_view text)
-{
-    return std::ranges::all_of(text, [](char letter) {
-        return (letter >= '0' && letter <= '9') || (letter >= 'a' && letter <= 'f');
-    });
-}
-
-static bool isAllZero(std::string_view text)
-{
-    return text.find_first_not_of('0') == std::string_view::npos;
-}
-
-TraceContext TraceContext::parse(std::string_view header, RandomSource &random)
-{
-    const auto trace = header.size() >= HeaderLength ? header.substr(3, TraceIdDigits) : std::string_view();
-    const auto span = header.size() >= HeaderLength ? header.substr(36, SpanIdDigits) : std::string_view();
-    const bool isWellFormed = header.size() == HeaderLength && header.starts_with("00-") && header[35] == '-' && header[52] == '-'
-        && isLowerHex(trace) && isLowerHex(span) && isLowerHex(header.substr(53)) && !isAllZero(trace) && !isAllZero(span);
-    if (!isWellFormed) {
-        return {randomHex(random, TraceIdDigits), "", true};
-    }
-    const bool isSampled = ((header[54] >= 'a' ? header[54] - 'a' + 10 : header[54] - '0') & 1) != 0;
-    return {std::string(trace), std::string(span), isSampled};
-}
-
-std::string TraceContext::header() const
-{
-    return "00-" + this->traceId + "-" + this->spanId + (this->isSampled ? "-01" : "-00");
-}
-
-TraceContext TraceContext::child(RandomSource &random) const
-{
-    return {this->traceId, randomHex(random, SpanIdDigits), this->isSampled};
-}
+namespace {
 
-static void appendText(std::string &json, std::string_view text)
+struct FileCloser
 {
-    json += '"';
-    for (const char letter : text) {
-        if (letter == '"' || letter == '\\') {
-            json += '\\';
-            json += letter;
-        } else if (static_cast<unsigned char>(letter) < ' ') {
-            json += ' ';
-        } else {
-            json += letter;
+    void operator()(std::FILE *file) const
+    {
+        if (file != stderr) {
+            std::fclose(file);
         }
     }
-    json += '"';
-}
-
-/// Returns the span as one object of the OTLP JSON encoding.
-static std::string toOtlpJson(const SpanRecord &span)
-{
-    const auto start = std::chrono::duration_cast<std::chrono::nanoseconds>(span.start.time_since_epoch());
-    std::string json = "{\"traceId\":";
-    appendText(json, span.context.traceId);
-    json += ",\"spanId\":";
-    appendText(json, span.context.spanId);
-    json += ",\"parentSpanId\":";
-    appendText(json, span.parentSpanId);
-    json += ",\"name\":";
-    appendText(json, span.name);
-    json += ",\"kind\":1,\"startTimeUnixNano\":\"" + std::to_string(start.count());
-    json += "\",\"endTimeUnixNano\":\"" + std::to_string((start + span.length).count()) + "\",\"attributes\":[";
-    bool isFirst = true;
-    for (const auto &[key, value] : span.attributes) {
-        json += isFirst ? "{\"key\":" : ",{\"key\":";
-        isFirst = false;
-        appendText(json, key);
-        json += ",\"value\":{\"stringValue\":";
-        appendText(json, value);
-        json += "}}";
-    }
-    json += "]}\n";
-    return json;
-}
-
-namespace {
+};
 
-/// Writes spans on a thread of its own.
+/// Writes spans on a background thread.
 class JsonLinesExporter : public SpanExporter
 {
 public:
     explicit JsonLinesExporter(const std::string &path)
-        : output(path == "-" ? stderr : std::fopen(path.c_str(), "a")), writer([this] {
+        : file(path == "-" ? stderr : std::fopen(path.c_str(), "ae")), writer([this] {
             this->writeAll();
         })
     {
@@ -115,20 +42,14 @@
     {
         {
             const std::lock_guard lock(this->mutex);
-            this->isClosing = true;
+            this->isStopping = true;
         }
         this->wakeUp.notify_one();
         this->writer.join();
-        if (this->output && this->output != stderr) {
-            std::fclose(this->output);
-        }
     }
 
     void exportSpan(SpanRecord span) override
     {
-        if (!span.context.isSampled) {
-            return;
-        }
         {
             const std::lock_guard lock(this->mutex);
             if (this->queue.size() >= MaxQueuedSpans) {
@@ -145,7 +66,7 @@
         std::unique_lock lock(this->mutex);
         while (true) {
             this->wakeUp.wait(lock, [this] {
-                return this->isClosing || !this->queue.empty();
+                return this->isStopping || !this->queue.empty();
             });
             if (this->queue.empty()) {
                 return;
@@ -153,32 +74,85 @@
             std::deque<SpanRecord> batch;
             batch.swap(this->queue);
             lock.unlock();
-            for (const auto &span : batch) {
-                const auto line = toOtlpJson(span);
-                if (this->output) {
-                    std::fwrite(line.data(), 1, line.size(), this->output);
-                }
-            }
-            if (this->output) {
-                std::fflush(this->output);
-            }
+            this->writeBatch(batch);
             lock.lock();
         }
     }
 
-    std::FILE *output;
+    void writeBatch(const std::deque<SpanRecord> &batch)
+    {
+        if (!this->file) {
+            return;
+        }
+        std::string lines;
+        for (const SpanRecord &span : batch) {
+            lines += formatSpan(span);
+            lines += '\n';
+        }
+        std::fwrite(lines.data(), 1, lines.size(), this->file.get());
+        std::fflush(this->file.get());
+    }
+
+    std::unique_ptr<std::FILE, FileCloser> file;
     std::mutex mutex;
     std::condition_variable wakeUp;
     std::deque<SpanRecord> queue;
-    bool isClosing = false;
+    bool isStopping = false;
     std::thread writer;
 };
 
+} // namespace
+
+static bool isLowerHex(std::string_view text)
+{
+    return std::all_of(text.begin(), text.end(), [](char digit) {
+        return (digit >= '0' && digit <= '9') || (digit >= 'a' && digit <= 'f');
+    });
+}
+
+static bool isAllZero(std::string_view text)
+{
+    return text.find_first_not_of('0') == std::string_view::npos;
+}
+
+TraceContext TraceContext::parse(std::string_view header, RandomSource &random)
+{
+    // "00-<32 digits>-<16 digits>-<2 digits>"; later versions may append more after another dash.
+    const bool hasShape = header.size() >= 55 && header[2] == '-' && header[35] == '-' && header[52] == '-';
+    if (hasShape) {
+        const std::string_view version = header.substr(0, 2);
+        const std::string_view trace = header.substr(3, 32);
+        const std::string_view span = header.substr(36, 16);
+        const std::string_view flags = header.substr(53, 2);
+        const bool hasEnd = header.size() == 55 || (version != "00" && header[55] == '-');
+        if (hasEnd && isLowerHex(version) && version != "ff" && isLowerHex(trace) && isLowerHex(span) && isLowerHex(flags)
+            && !isAllZero(trace) && !isAllZero(span)) {
+            const char low = flags[1];
+            const int bits = low <= '9' ? low - '0' : low - 'a' + 10;
+            return {std::string(trace), std::string(span), (bits & 1) != 0};
+        }
+    }
+    return {randomHex(random, 32), randomHex(random, 16), false};
+}
+
+std::string TraceContext::header() const
+{
+    assert(this->traceId.size() == 32 && this->spanId.size() == 16 && "a trace context needs its ids");
+    return "00-" + this->traceId + "-" + this->spanId + (this->isSampled ? "-01" : "-00");
+}
+
+TraceContext TraceContext::child(RandomSource &random) const
+{
+    return {this->traceId, randomHex(random, 16), this->isSampled};
+}
+
+namespace {
+
 /// Drops all spans.
 class NullExporter : public SpanExporter
 {
 public:
-    void exportSpan(SpanRecord) override
+    void exportSpan(SpanRecord /*span*/) override
     {
     }
 };
