--- a/packages/host/include/rhubarbtiller/host/configcontroller.h
+++ b/packages/host/include/rhubarbtiller/host/configcontroller.h
@@ -85,6 +85,12 @@
         this->pollHandler = std::move(handler);
     }
 
+    /// Has \p handler called with each organisation whose limit is about to change. Precondition: called before start().
+    void onLimitChange(std::function<void(const OrganisationId &)> handler)
+    {
+        this->limitHandler = std::move(handler);
+    }
+
 private:
     asio::awaitable<void> run();
     asio::awaitable<void> poll();
@@ -92,6 +98,7 @@
     asio::awaitable<bool> loadSnapshot(platform::LogHead head);
     asio::awaitable<void> catchUpFromPeers();
     void apply(const std::vector<config::Change> &changes);
+    void announceLimits(const config::Change &change) const;
     void adopt(std::shared_ptr<const config::Snapshot> next);
     void publishRouting();
 
@@ -112,6 +119,7 @@
     bool storeReachable = false;
     bool isStopped = false;
     std::function<void()> pollHandler;
+    std::function<void(const OrganisationId &)> limitHandler;
 };
 
 } // namespace rhubarbtiller::host
--- a/packages/host/include/rhubarbtiller/host/homeservice.h
+++ b/packages/host/include/rhubarbtiller/host/homeservice.h
@@ -70,6 +70,7 @@
     borrow(const Work &work, const blackboard::RoutingView &view, const config::Organisation &organisation, const limits::RateSlice &slice);
     asio::awaitable<std::optional<WorkOutcome>> claim(const Work &work, std::optional<platform::IdempotencyClaim> &claimed);
     asio::awaitable<WorkOutcome> attemptAll(const Work &work, const config::Route &route);
+    void noteLoad(const routing::ServerView &server, const WorkOutcome &outcome) const;
     asio::awaitable<WorkOutcome>
     attempt(const Work &work, const routing::ServerView &server, const blackboard::RoutingView &view, MonotonicTime attemptDeadline);
     const config::Host *ownerOf(const ShardId &shard, const blackboard::RoutingView &view, const std::set<HostId> &tried) const;
--- a/packages/host/include/rhubarbtiller/host/leasecontroller.h
+++ b/packages/host/include/rhubarbtiller/host/leasecontroller.h
@@ -82,6 +82,7 @@
     void
     takeVotes(const HostId &guardian, const membership::VoteRequest &request, MonotonicTime sentAt, const membership::VoteReply &reply);
     void noteLeaving(const HostId &peer, bool isLeaving);
+    void askOften();
     void publish();
 
     asio::any_io_executor strand;
@@ -99,6 +100,8 @@
     std::map<std::pair<ShardId, HostId>, MonotonicTime> heldSince;
     std::set<HostId> leavingPeers;
     std::shared_ptr<const membership::Placement> placement;
+    /// Up to when this host asks for votes at short intervals.
+    MonotonicTime askOftenUntil{MonotonicTime::min()};
     bool isLeaving = false;
     bool isStopped = false;
     std::function<void()> changeHandler;
--- a/packages/host/include/rhubarbtiller/host/requestpipeline.h
+++ b/packages/host/include/rhubarbtiller/host/requestpipeline.h
@@ -63,7 +63,8 @@
     process(http::HttpRequest &request, const std::shared_ptr<CancelToken> &cancel, telemetry::TraceContext trace, RequestId id);
     std::optional<WorkOutcome> accept(http::HttpRequest &request, const blackboard::RoutingView &view, Accepted &accepted);
     std::uint32_t chooseSlice(const OrganisationId &organisation, const blackboard::RoutingView &view);
-    asio::awaitable<WorkOutcome> runAtHome(Accepted &accepted, const blackboard::RoutingView &view);
+    asio::awaitable<WorkOutcome> runAtHome(const Accepted &accepted);
+    asio::awaitable<WorkOutcome> askGuardians(const Work &work, int &hop);
     http::HttpResponse addressAnswer(http::HttpRequest &request) const;
 
     Parts parts;
--- a/packages/host/include/rhubarbtiller/host/serverowner.h
+++ b/packages/host/include/rhubarbtiller/host/serverowner.h
@@ -54,6 +54,8 @@
     std::vector<health::ServerSample> takeSamples(const BackendServerId &server);
 
 private:
+    bool isShardSettled(const BackendServerId &server, ShardId shard, ConfigVersion version, ConfigVersion settled);
+
     struct Target
     {
         std::shared_ptr<const config::Pool> pool;
@@ -78,6 +80,8 @@
     RandomSource &randomSource;
     telemetry::SpanExporter &spans;
     std::map<BackendServerId, std::shared_ptr<const config::Pool>> owned;
+    /// The shard of each server and the version since which it has been the same.
+    std::map<BackendServerId, std::pair<ShardId, ConfigVersion>> shards;
     std::mutex evidenceMutex;
     std::map<BackendServerId, health::EvidenceWindow> evidence;
 };
--- a/packages/host/lib/awaiting.h
+++ b/packages/host/lib/awaiting.h
@@ -3,8 +3,12 @@
 #include <asio/async_result.hpp>
 #include <asio/awaitable.hpp>
 #include <asio/post.hpp>
+#include <asio/redirect_error.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/this_coro.hpp>
 #include <asio/use_awaitable.hpp>
 
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -34,4 +38,12 @@
     co_return std::move(*slot);
 }
 
+/// Suspends the coroutine. Thread safety: any thread.
+inline asio::awaitable<void> pauseFor(std::chrono::milliseconds time)
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor, time);
+    std::error_code ignored;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
 } // namespace rhubarbtiller::host
--- a/packages/host/lib/configcontroller.cpp
+++ b/packages/host/lib/configcontroller.cpp
@@ -191,6 +191,25 @@
     reply(std::move(envelope));
 }
 
+void ConfigController::announceLimits(const config::Change &change) const
+{
+    if (!this->limitHandler) {
+        return;
+    }
+    for (const auto &mutation : change.mutations) {
+        if (const auto *put = std::get_if<config::PutRow>(&mutation)) {
+            if (const auto *organisation = std::get_if<config::Organisation>(&put->row)) {
+                this->limitHandler(organisation->id);
+            }
+            continue;
+        }
+        const auto &deletion = std::get<config::DeleteRow>(mutation);
+        if (deletion.table == config::Table::Organisations) {
+            this->limitHandler(OrganisationId(deletion.primaryKey));
+        }
+    }
+}
+
 void ConfigController::apply(const std::vector<config::Change> &changes)
 {
     using Applied = std::pair<std::shared_ptr<const config::Snapshot>, std::shared_ptr<const membership::Placement>>;
@@ -199,6 +218,7 @@
         if (change.version.count() != this->current->version().count() + 1) {
             continue;
         }
+        this->announceLimits(change);
         this->current = this->current->apply(change);
         this->placement = membership::Placement::build(*this->current, this->placement);
         applied.emplace_back(this->current, this->placement);
--- a/packages/host/lib/homeservice.cpp
+++ b/packages/host/lib/homeservice.cpp
@@ -17,6 +17,15 @@
 /// Attempts of one request at most; more would spread the load of a sick pool over all its servers.
 static constexpr int MaxAttempts = 4;
 
+/// Tries of one request at most, including those that were refused before they ran.
+static constexpr int MaxTries = 64;
+
+/// Servers that are asked without a pause; more would multiply the messages when a whole pool refuses.
+static constexpr std::size_t TriesPerRound = 4;
+
+/// Servers that refused a moment ago are asked again after this pause.
+static constexpr std::chrono::milliseconds ServerRetryPause{50};
+
 /// An idempotent request leaves at least this part of its time for another attempt.
 static constexpr int AttemptShare = 3;
 static constexpr Duration LeastAttemptTime = std::chrono::milliseconds(100);
@@ -200,6 +209,14 @@
     co_return WorkOutcome::refused(Reason::StoreUnavailable, Execution::NotRun, StoreRetryAfter);
 }
 
+static MonotonicTime attemptDeadline(const Work &work, const config::Route &route, int started, MonotonicTime now)
+{
+    if (!route.isIdempotent || started + 1 >= MaxAttempts) {
+        return work.deadline;
+    }
+    return std::min(work.deadline, now + std::max((work.deadline - now) / AttemptShare, LeastAttemptTime));
+}
+
 static bool isWorthAnotherAttempt(const WorkOutcome &outcome)
 {
     if (outcome.response) {
@@ -215,37 +232,39 @@
     std::set<BackendServerId> tried;
     auto last = WorkOutcome::refused(Reason::NoServer, Execution::NotRun, ServerRetryAfter);
     this->parts.retries.onRequest(route.pool, this->parts.clock.now());
-    for (int number = 0; number < MaxAttempts; ++number) {
+    int started = 0;
+    for (int number = 0; number < MaxTries && started < MaxAttempts; ++number) {
         const auto now = this->parts.clock.now();
+        if (now >= work.deadline || work.cancel->isCancelled()) {
+            break;
+        }
         const auto view = this->parts.board.routing.read();
         const auto *const pool = view->findPool(route.pool);
-        const auto *const server = pool ? this->parts.chooser.choose(*pool, tried, now) : nullptr;
-        if (!server || now >= work.deadline || work.cancel->isCancelled()) {
-            break;
+        const bool mayTryMore = pool && tried.size() < TriesPerRound;
+        const auto *const server = mayTryMore ? this->parts.chooser.choose(*pool, tried, now) : nullptr;
+        if (!server) {
+            // The servers refused before running anything, as when several of them change their owner at once.
+            if (tried.empty() || tracker.execution() != Execution::NotRun || now + ServerRetryPause >= work.deadline) {
+                break;
+            }
+            tried.clear();
+            co_await pauseFor(ServerRetryPause);
+            continue;
         }
         // An attempt that was refused before it ran costs the pool nothing, so only repeated work uses the budget.
         if (tracker.execution() != Execution::NotRun && !this->parts.retries.tryRetry(route.pool, now)) {
             break;
         }
         tried.insert(server->server.id);
-        auto attemptDeadline = work.deadline;
-        if (route.isIdempotent && number + 1 < MaxAttempts) {
-            attemptDeadline = std::min(work.deadline, now + std::max((work.deadline - now) / AttemptShare, LeastAttemptTime));
-        }
         Work attemptWork = work;
         attemptWork.id = RequestId(work.id.text() + "." + std::to_string(number));
-        attemptWork.deadline = attemptDeadline;
+        attemptWork.deadline = attemptDeadline(work, route, started, now);
         server->load->onSent();
-        auto outcome = co_await this->attempt(attemptWork, *server, *view, attemptDeadline);
+        auto outcome = co_await this->attempt(attemptWork, *server, *view, attemptWork.deadline);
         server->load->onEnded();
-        const auto ended = this->parts.clock.now();
-        if (outcome.load) {
-            server->load->onReport(*outcome.load, ended);
-        }
-        if (!outcome.response && outcome.refusal.reason != Reason::ServerBusy) {
-            server->load->onRefused(ended);
-        }
+        this->noteLoad(*server, outcome);
         tracker.onAttemptEnded(outcome.execution);
+        started += outcome.execution == Execution::NotRun ? 0 : 1;
         // A whole answer, even of a failure, tells the caller more than a later refusal.
         if (outcome.response || !last.response) {
             last = std::move(outcome);
@@ -259,6 +278,17 @@
     co_return last;
 }
 
+void HomeService::noteLoad(const routing::ServerView &server, const WorkOutcome &outcome) const
+{
+    const auto now = this->parts.clock.now();
+    if (outcome.load) {
+        server.load->onReport(*outcome.load, now);
+    }
+    if (!outcome.response && outcome.refusal.reason != Reason::ServerBusy) {
+        server.load->onRefused(now);
+    }
+}
+
 const config::Host *HomeService::ownerOf(const ShardId &shard, const blackboard::RoutingView &view, const std::set<HostId> &tried) const
 {
     const auto now = this->parts.clock.now();
--- a/packages/host/lib/hostprocess.cpp
+++ b/packages/host/lib/hostprocess.cpp
@@ -220,6 +220,9 @@
                 this->owner.onLeasesChanged();
                 this->notePhase();
             });
+            this->configs.onLimitChange([this](const OrganisationId &organisation) {
+                this->rates.onLimitChanged(organisation, this->clock.now());
+            });
             this->configs.onPolled([this] {
                 this->roster.onPolled();
             });
--- a/packages/host/lib/leasecontroller.cpp
+++ b/packages/host/lib/leasecontroller.cpp
@@ -11,6 +11,10 @@
 /// A reply that is older than this no longer helps, since the next request is under way.
 static constexpr Duration AskTimeout = std::chrono::milliseconds(900);
 
+/// After a peer's notice that it leaves, its guardians hear of the release at different moments.
+static constexpr Duration EagerTime = std::chrono::milliseconds(600);
+static constexpr std::chrono::milliseconds EagerAskInterval{100};
+
 LeaseController::LeaseController(asio::any_io_executor controlStrand,
                                  const Clock &systemClock,
                                  peer::PeerNetwork &peerNetwork,
@@ -87,7 +91,7 @@
         this->askPeer(peer, now);
     }
     this->publish();
-    this->timer.expires_after(AskInterval);
+    this->timer.expires_after(now < this->askOftenUntil ? EagerAskInterval : AskInterval);
     this->timer.async_wait([this](const std::error_code &error) {
         if (!error) {
             this->tick();
@@ -192,6 +196,19 @@
         next->hosts.insert(this->self);
     }
     this->board.leaving.publish(std::move(next));
+    if (peerIsLeaving) {
+        // The votes that the peer gives up are free now; waiting for the next round would leave its shards without an owner.
+        this->askOften();
+    }
+}
+
+void LeaseController::askOften()
+{
+    this->askOftenUntil = this->clock.now() + EagerTime;
+    asio::post(this->strand, [this] {
+        this->timer.cancel();
+        this->tick();
+    });
 }
 
 void LeaseController::beginLeaving()
--- a/packages/host/lib/requestpipeline.cpp
+++ b/packages/host/lib/requestpipeline.cpp
@@ -1,6 +1,7 @@
 #include <rhubarbtiller/host/requestpipeline.h>
 
 #include "answers.h"
+#include "awaiting.h"
 
 #include <rhubarbtiller/routing/addressanswer.h>
 #include <rhubarbtiller/routing/keyextractor.h>
@@ -24,6 +25,9 @@
 
 static constexpr Duration StaleRetryAfter = std::chrono::seconds(1);
 
+/// A shard changes its holder within a few of these.
+static constexpr std::chrono::milliseconds HomeRetryPause{50};
+
 /// Digits of a request id; enough that two requests of the fleet never share one.
 static constexpr std::size_t RequestIdDigits = 24;
 
@@ -170,31 +174,57 @@
     accepted.work.id = std::move(id);
     accepted.work.trace = std::move(trace);
     accepted.work.cancel = cancel;
-    co_return co_await this->runAtHome(accepted, *view);
+    co_return co_await this->runAtHome(accepted);
+}
+
+/// Returns whether the refusal only says that the request came to a host that cannot admit it now.
+static bool isMisdirected(const WorkOutcome &outcome)
+{
+    if (outcome.response || outcome.execution != Execution::NotRun) {
+        return false;
+    }
+    const auto reason = outcome.refusal.reason;
+    return reason == Reason::NoHome || reason == Reason::NotOwner || reason == Reason::StaleConfiguration || reason == Reason::HostLeaving;
 }
 
-asio::awaitable<WorkOutcome> RequestPipeline::runAtHome(Accepted &accepted, const blackboard::RoutingView &view)
+asio::awaitable<WorkOutcome> RequestPipeline::runAtHome(const Accepted &accepted)
 {
     const auto &work = accepted.work;
-    const auto shard = view.placement->shardOf(work.organisation, work.slice);
-    const auto leases = this->parts.board.leases.read();
-    if (!accepted.hasHome || leases->owns(shard, this->parts.clock.now())) {
-        auto outcome = co_await this->parts.home.run(work);
-        if (outcome.refusal.reason != Reason::NoHome) {
+    if (!accepted.hasHome) {
+        co_return co_await this->parts.home.run(work);
+    }
+    int hop = 0;
+    while (true) {
+        auto outcome = co_await this->askGuardians(work, hop);
+        // While a shard changes its holder nobody admits for a moment; the caller should not have to notice.
+        const bool canWait = this->parts.clock.now() + HomeRetryPause < work.deadline && !work.cancel->isCancelled();
+        if (!isMisdirected(outcome) || !canWait) {
             co_return outcome;
         }
+        co_await pauseFor(HomeRetryPause);
     }
-    auto last = WorkOutcome::refused(Reason::NoHome, Execution::NotRun, StaleRetryAfter);
-    const auto &guardians = view.placement->guardians(shard);
+}
+
+asio::awaitable<WorkOutcome> RequestPipeline::askGuardians(const Work &work, int &hop)
+{
+    const auto view = this->parts.board.routing.read();
+    const auto leases = this->parts.board.leases.read();
     const auto leaving = this->parts.board.leaving.read();
-    int hop = 0;
+    const auto shard = view->placement->shardOf(work.organisation, work.slice);
+    auto last = WorkOutcome::refused(Reason::NoHome, Execution::NotRun, StaleRetryAfter);
+    if (leases->owns(shard, this->parts.clock.now())) {
+        last = co_await this->parts.home.run(work);
+        if (!isMisdirected(last)) {
+            co_return last;
+        }
+    }
     // Suspect and leaving hosts come in a second round.
     for (const bool isSecondRound : {false, true}) {
-        for (const auto &guardian : guardians) {
+        for (const auto &guardian : view->placement->guardians(shard)) {
             const auto now = this->parts.clock.now();
-            const auto host = view.snapshot->hosts().find(guardian);
+            const auto host = view->snapshot->hosts().find(guardian);
             const bool isDoubtful = leaving->hosts.contains(guardian) || this->parts.forwarder.health().isSuspect(guardian, now);
-            if (host == view.snapshot->hosts().end() || isDoubtful != isSecondRound || now >= work.deadline) {
+            if (host == view->snapshot->hosts().end() || isDoubtful != isSecondRound || now >= work.deadline) {
                 continue;
             }
             if (guardian == this->parts.self) {
@@ -202,11 +232,10 @@
             } else {
                 Work hopWork = work;
                 hopWork.id = RequestId(work.id.text() + "-h" + std::to_string(hop++));
-                last = co_await this->parts.forwarder.forward(host->second, std::move(hopWork), BackendServerId(), work.deadline);
+                const BackendServerId noServer;
+                last = co_await this->parts.forwarder.forward(host->second, std::move(hopWork), noServer, work.deadline);
             }
-            const bool isMisdirected = last.refusal.reason == Reason::NoHome || last.refusal.reason == Reason::NotOwner
-                || last.refusal.reason == Reason::StaleConfiguration || last.refusal.reason == Reason::HostLeaving;
-            if (last.response || last.execution != Execution::NotRun || !isMisdirected) {
+            if (!isMisdirected(last)) {
                 co_return last;
             }
         }
--- a/packages/host/lib/rostercontroller.cpp
+++ b/packages/host/lib/rostercontroller.cpp
@@ -127,17 +127,20 @@
     const auto isSame = std::set(wanted.begin(), wanted.end()) == std::set(fleet.witnesses.begin(), fleet.witnesses.end());
     const auto freshness = this->leases.freshness();
     // The evidence rule needs the version before a change of witnesses to be settled.
-    if (isSame || freshness.settled != freshness.version || freshness.version != this->configs.snapshot()->version()) {
-        if (isSame) {
-            this->dueAt.erase("witnesses");
-        }
+    const bool isSettled = freshness.settled == freshness.version && freshness.version == this->configs.snapshot()->version();
+    const bool isDone = isSame && fleet.previousWitnesses.empty();
+    if (isDone) {
+        this->dueAt.erase("witnesses");
+    }
+    if (isDone || !isSettled) {
         return {};
     }
     if (!this->isDue("witnesses", rankIn(wanted, this->self.id))) {
         return {};
     }
     auto next = fleet;
-    next.previousWitnesses = fleet.witnesses;
+    // Once the change of witnesses is settled nobody relies on the previous ones, so they are cleared by a change of its own.
+    next.previousWitnesses = isSame ? std::vector<HostId>() : fleet.witnesses;
     next.witnesses = wanted;
     return {config::PutRow{next}};
 }
@@ -171,7 +174,9 @@
                                       return host.id == peer && host.state == platform::ListedHostState::Live;
                                   });
         const bool mayRemove = listed ? !isListedLive : now - this->silentSince[peer] > SilenceWithoutList;
-        if (mayRemove && this->configs.snapshot()->hosts().contains(peer)) {
+        // One host for each change: the rule about witnesses holds for a single removal.
+        const bool isNeeded = !membership::keepsWitnessMajority(*this->configs.snapshot(), peer);
+        if (mayRemove && !isNeeded && mutations.empty() && this->configs.snapshot()->hosts().contains(peer)) {
             mutations.emplace_back(config::DeleteRow{config::Table::Hosts, peer.text()});
         }
     }
--- a/packages/host/lib/serverowner.cpp
+++ b/packages/host/lib/serverowner.cpp
@@ -48,6 +48,15 @@
     return membership::withClockDrift(longest);
 }
 
+bool ServerOwner::isShardSettled(const BackendServerId &server, ShardId shard, ConfigVersion version, ConfigVersion settled)
+{
+    auto &known = this->shards.try_emplace(server, shard, version).first->second;
+    if (known.first != shard) {
+        known = {shard, version};
+    }
+    return settled >= known.second;
+}
+
 void ServerOwner::onLeasesChanged()
 {
     const auto view = this->board.routing.read();
@@ -61,7 +70,9 @@
         for (const auto &server : pool->servers) {
             const auto shard = view->placement->shardOf(server.id, server.failureDomain);
             const auto ownedUntil = leases->ownedUntil(shard);
-            if (ownedUntil <= now) {
+            // Until a change that moved the server to this shard is settled, the owner of its old shard may act for it.
+            const bool isSettled = this->isShardSettled(server.id, shard, view->snapshot->version(), leases->freshness.settled);
+            if (ownedUntil <= now || !isSettled) {
                 continue;
             }
             nowOwned.emplace(server.id, pool);
@@ -84,6 +95,9 @@
         }
     }
     this->owned = std::move(nowOwned);
+    std::erase_if(this->shards, [&view](const auto &entry) {
+        return !view->poolOfServer.contains(entry.first);
+    });
 }
 
 void ServerOwner::advance()
@@ -170,6 +184,8 @@
     if (const auto reason = this->findTarget(work, server, *view, target)) {
         co_return WorkOutcome::refused(*reason, Execution::NotRun);
     }
+    // The sender's clock may have counted more time than the route allows, if the message was long under way.
+    work.deadline = std::min(work.deadline, this->clock.now() + target.route->timeLimit);
     if (!this->mayActFor(target, this->clock.now()) || this->ejections.isEjected(server, this->clock.now())) {
         co_return WorkOutcome::refused(Reason::NotOwner, Execution::NotRun, BusyRetryAfter);
     }
@@ -209,7 +225,8 @@
     const auto wallStart = this->clock.wallNow();
     // The last look before the request leaves: a host that was paused while it waited for the slot must not send.
     const auto sentAt = this->clock.now();
-    if (!this->mayActFor(target, sentAt) || work.cancel->isCancelled() || sentAt >= work.deadline) {
+    const bool isLate = sentAt >= work.deadline || sentAt >= lease.sendBy;
+    if (!this->mayActFor(target, sentAt) || work.cancel->isCancelled() || isLate) {
         this->slots.release(lease, health::SlotOutcome::NotSent, Duration::zero(), sentAt);
         const auto reason = sentAt >= work.deadline ? Reason::DeadlinePassed : Reason::NotOwner;
         co_return WorkOutcome::refused(work.cancel->isCancelled() ? Reason::Cancelled : reason, Execution::NotRun);
