--- a/packages/host/include/rhubarbtiller/host/serverowner.h
+++ b/packages/host/include/rhubarbtiller/host/serverowner.h
@@ -54,8 +54,11 @@
     std::vector<health::ServerSample> takeSamples(const BackendServerId &server);
 
 private:
-    bool isShardSettled(const BackendServerId &server, ShardId shard, ConfigVersion version, ConfigVersion settled);
-
+    void keepOwning(const BackendServerId &server,
+                    const config::Pool &pool,
+                    const config::Snapshot &snapshot,
+                    MonotonicTime ownedUntil,
+                    MonotonicTime now);
     struct Target
     {
         std::shared_ptr<const config::Pool> pool;
@@ -80,8 +83,6 @@
     RandomSource &randomSource;
     telemetry::SpanExporter &spans;
     std::map<BackendServerId, std::shared_ptr<const config::Pool>> owned;
-    /// The shard of each server and the version since which it has been the same.
-    std::map<BackendServerId, std::pair<ShardId, ConfigVersion>> shards;
     std::mutex evidenceMutex;
     std::map<BackendServerId, health::EvidenceWindow> evidence;
 };
--- a/packages/host/lib/awaiting.h
+++ b/packages/host/lib/awaiting.h
@@ -24,7 +24,8 @@
 asio::awaitable<Value> awaitHandler(Start start)
 {
     std::optional<Value> slot;
-    // A named object with references only: g++ 12 destroys temporaries with destructors inside a co_await expression twice.
+    // The result lives in this coroutine's frame, and the initiation captures references only, so that nothing that owns
+    // memory is copied into Asio's frames.
     auto initiation = [&slot, &start](auto completion) {
         auto shared = std::make_shared<decltype(completion)>(std::move(completion));
         start(std::function<void(Value)>([&slot, shared](Value value) {
--- a/packages/host/lib/serverowner.cpp
+++ b/packages/host/lib/serverowner.cpp
@@ -48,13 +48,20 @@
     return membership::withClockDrift(longest);
 }
 
-bool ServerOwner::isShardSettled(const BackendServerId &server, ShardId shard, ConfigVersion version, ConfigVersion settled)
+void ServerOwner::keepOwning(const BackendServerId &server,
+                             const config::Pool &pool,
+                             const config::Snapshot &snapshot,
+                             MonotonicTime ownedUntil,
+                             MonotonicTime now)
 {
-    auto &known = this->shards.try_emplace(server, shard, version).first->second;
-    if (known.first != shard) {
-        known = {shard, version};
+    const auto before = this->owned.find(server);
+    if (before == this->owned.end() || !this->slots.extendOwnership(server, ownedUntil, now)) {
+        this->slots.takeOver(server, pool, now + longestTimeLimit(snapshot, pool), ownedUntil, now);
+        return;
+    }
+    if (!(*before->second == pool)) {
+        this->slots.reconfigure(server, pool, now);
     }
-    return settled >= known.second;
 }
 
 void ServerOwner::onLeasesChanged()
@@ -66,24 +73,18 @@
     }
     const auto now = this->clock.now();
     std::map<BackendServerId, std::shared_ptr<const config::Pool>> nowOwned;
-    for (const auto &[name, pool] : view->snapshot->pools()) {
-        for (const auto &server : pool->servers) {
-            const auto shard = view->placement->shardOf(server.id, server.failureDomain);
-            const auto ownedUntil = leases->ownedUntil(shard);
-            // Until a change that moved the server to this shard is settled, the owner of its old shard may act for it.
-            const bool isSettled = this->isShardSettled(server.id, shard, view->snapshot->version(), leases->freshness.settled);
-            if (ownedUntil <= now || !isSettled) {
-                continue;
-            }
-            nowOwned.emplace(server.id, pool);
-            const auto before = this->owned.find(server.id);
-            if (before != this->owned.end() && this->slots.extendOwnership(server.id, ownedUntil, now)) {
-                if (!(*before->second == *pool)) {
-                    this->slots.reconfigure(server.id, *pool, now);
-                }
-                continue;
+    const auto shardCount = std::min(view->serversByShard.size(), leases->shards.size());
+    for (std::uint32_t number = 0; number < shardCount; ++number) {
+        const ShardId shard(number);
+        const auto ownedUntil = leases->ownedUntil(shard);
+        if (ownedUntil <= now) {
+            continue;
+        }
+        for (const auto &place : view->serversByShard[number]) {
+            if (leases->freshness.settled >= place.shardSince) {
+                nowOwned.emplace(place.server.id, place.pool);
+                this->keepOwning(place.server.id, *place.pool, *view->snapshot, ownedUntil, now);
             }
-            this->slots.takeOver(server.id, *pool, now + longestTimeLimit(*view->snapshot, *pool), ownedUntil, now);
         }
     }
     for (const auto &[server, pool] : this->owned) {
@@ -95,9 +96,6 @@
         }
     }
     this->owned = std::move(nowOwned);
-    std::erase_if(this->shards, [&view](const auto &entry) {
-        return !view->poolOfServer.contains(entry.first);
-    });
 }
 
 void ServerOwner::advance()
@@ -135,8 +133,8 @@
 ServerOwner::findTarget(const Work &work, const BackendServerId &server, const blackboard::RoutingView &view, Target &target) const
 {
     const auto route = view.snapshot->routes().find(work.route);
-    const auto pool = view.poolOfServer.find(server);
-    if (route == view.snapshot->routes().end() || pool == view.poolOfServer.end()) {
+    const auto place = view.serverPlaces.find(server);
+    if (route == view.snapshot->routes().end() || place == view.serverPlaces.end()) {
         return Reason::NotOwner;
     }
     // A key that was withdrawn after the sender looked it up must not let the request run here.
@@ -146,11 +144,11 @@
             return Reason::UnknownKey;
         }
     }
-    const auto found = std::ranges::find(pool->second->servers, server, &config::BackendServer::id);
-    if (found == pool->second->servers.end() || view.snapshot->isDraining(server) || view.snapshot->isWithdrawn(found->failureDomain)) {
+    const auto &row = place->second.server;
+    if (view.snapshot->isDraining(server) || view.snapshot->isWithdrawn(row.failureDomain)) {
         return Reason::NotOwner;
     }
-    target = {pool->second, route->second.get(), *found};
+    target = {place->second.pool, route->second.get(), row};
     return std::nullopt;
 }
 
--- a/packages/operatorclient/lib/session.cpp
+++ b/packages/operatorclient/lib/session.cpp
@@ -2,6 +2,8 @@
 
 #include "blocking.h"
 
+#include <rhubarbtiller/config/codec.h>
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -100,10 +102,15 @@
         change.author = this->settings.author;
         change.mutations = std::move(wanted.mutations);
         const auto base = snapshot.value()->version();
+        change.version = ConfigVersion(base.count() + 1);
+        // A change that hosts cannot decode would keep them from applying any later one.
+        if (const auto decoded = config::decodeChange(config::encodeChange(change)); !decoded) {
+            this->output << "the change holds a value that is not allowed: " << decoded.error().message() << "; nothing was changed\n";
+            return ExitCode::Invalid;
+        }
         const auto result = blockOn<platform::AppendResult>([&](auto handler) {
             this->store.append(change, base, this->clock.now() + StoreTimeout, std::move(handler));
         });
-        change.version = ConfigVersion(base.count() + 1);
         switch (result.outcome) {
         case platform::AppendOutcome::Committed:
             return this->waitForAcceptance(change.version);
