host: Refuse a response that names another request

A backend server that answers on the wrong connection, or a response that was meant for an earlier request, was passed to the caller as its own.

Ruled out: the HTTP client (its framing checks pass, the response is whole) and the peer hop (replies carry ids, and the mix-up also occurs on hosts that own the server).

ServerOwner::judge now compares the Rhubarbtiller-Request-Id that the response repeats with that of the attempt and refuses with incomplete_answer, outcome unknown. A server that does not repeat the header is not checked, since nothing in the response tells requests apart.

--- a/packages/host/lib/serverowner.cpp
+++ b/packages/host/lib/serverowner.cpp
@@ -19,6 +19,9 @@
 /// How long a caller should wait before it tries again when servers are busy or moving.
 static constexpr Duration BusyRetryAfter = std::chrono::seconds(1);
 
+/// Names a request to its backend server; a server that repeats it lets a response to another request be recognised.
+static constexpr const char *RequestIdHeader = "Rhubarbtiller-Request-Id";
+
 ServerOwner::ServerOwner(const Clock &systemClock,
                          const blackboard::Blackboard &blackboard,
                          http::HttpClient &httpClient,
@@ -192,12 +195,12 @@
     auto request = work.request;
     removeHopHeaders(request.headers);
     for (const auto *const name :
-         {"Host", "Content-Length", "traceparent", "Rhubarbtiller-Request-Id", "Rhubarbtiller-Organisation", "Rhubarbtiller-Deadline-Ms"}) {
+         {"Host", "Content-Length", "traceparent", RequestIdHeader, "Rhubarbtiller-Organisation", "Rhubarbtiller-Deadline-Ms"}) {
         removeHeader(request.headers, name);
     }
     const auto remainingMs = std::max<std::int64_t>(1, std::chrono::duration_cast<std::chrono::milliseconds>(remaining).count());
     request.headers.push_back({"traceparent", trace.header()});
-    request.headers.push_back({"Rhubarbtiller-Request-Id", work.id.text()});
+    request.headers.push_back({RequestIdHeader, work.id.text()});
     request.headers.push_back({"Rhubarbtiller-Organisation", work.organisation.text()});
     request.headers.push_back({"Rhubarbtiller-Deadline-Ms", std::to_string(remainingMs)});
     return request;
@@ -252,6 +255,13 @@
     return Reason::ServerFailed;
 }
 
+/// Returns whether a response names another request than the one it came for; servers need not name any.
+static bool isForAnotherRequest(const http::HttpResponse &response, const RequestId &id)
+{
+    const auto answered = findHeader(response.headers, RequestIdHeader);
+    return !answered.empty() && answered != id.text();
+}
+
 static health::SlotOutcome slotOutcomeFor(const http::HttpOutcome &outcome)
 {
     const auto error = outcome.response.error();
@@ -280,6 +290,11 @@
         return WorkOutcome::refused(reason, outcome.mayHaveBeenSent ? Execution::Unknown : Execution::NotRun);
     }
     const auto &response = outcome.response.value();
+    if (isForAnotherRequest(response, work.id)) {
+        this->slots.release(lease, health::SlotOutcome::Failure, latency, now);
+        this->observe(work, server, health::Observation::Failure, latency, now);
+        return WorkOutcome::refused(Reason::IncompleteAnswer, Execution::Unknown);
+    }
     if (response.status == 503 && findHeader(response.headers, "X-Not-Run") == "1") {
         this->slots.release(lease, health::SlotOutcome::Shed, latency, now);
         return WorkOutcome::refused(Reason::ServerShed, Execution::NotRun, BusyRetryAfter);
