--- a/packages/host/unittests/fleetfixture.cpp
+++ b/packages/host/unittests/fleetfixture.cpp
@@ -93,9 +93,7 @@
         return this->areRowsKnown();
     }));
     REQUIRE(this->change(this->initialRows()));
-    REQUIRE(eventually([this] {
-        return this->isReady();
-    }));
+    REQUIRE(this->becomesReady());
 }
 
 Fleet::~Fleet()
@@ -112,6 +110,11 @@
     return "rt_secret-key-of-organisation-" + std::to_string(organisation);
 }
 
+std::string Fleet::peerCredential()
+{
+    return PeerCredential;
+}
+
 std::string Fleet::organisationName(std::size_t organisation)
 {
     return "o" + std::to_string(organisation);
@@ -224,6 +227,13 @@
            });
 }
 
+bool Fleet::becomesReady() const
+{
+    return eventually([this] {
+        return this->isReady();
+    });
+}
+
 bool Fleet::isReady() const
 {
     std::set<int> owned;
@@ -275,7 +285,8 @@
 std::size_t Fleet::ownerOf(const std::string &server) const
 {
     for (std::size_t i = 0; i < HostCount; ++i) {
-        for (const auto &owned : this->state(i)["servers"]) {
+        const auto document = this->state(i);
+        for (const auto &owned : document["servers"]) {
             if (owned["server"] == server) {
                 return i;
             }
--- a/packages/host/unittests/fleetfixture.h
+++ b/packages/host/unittests/fleetfixture.h
@@ -61,6 +61,7 @@
     ~Fleet();
 
     static std::string keyOf(std::size_t organisation);
+    static std::string peerCredential();
     static std::string organisationName(std::size_t organisation);
 
     Endpoint callerAddress(std::size_t host) const;
@@ -70,6 +71,9 @@
     /// Stops a host without notice, as if its machine had failed.
     void destroyHost(std::size_t host);
 
+    /// Waits until all shards are owned and all hosts serve again after faults.
+    bool becomesReady() const;
+
     /// Returns the state document of a host's operator port.
     Json state(std::size_t host) const;
 
