--- a/packages/host/include/rhubarbtiller/host/leasecontroller.h
+++ b/packages/host/include/rhubarbtiller/host/leasecontroller.h
@@ -65,6 +65,12 @@
         return this->lease.highestKnownVersion();
     }
 
+    /// Returns the placement of the applied version, or nullptr. Precondition: none.
+    const std::shared_ptr<const membership::Placement> &currentPlacement() const
+    {
+        return this->placement;
+    }
+
     /// Has \p handler called whenever the published leases may have changed. Precondition: called before start().
     void onChanged(std::function<void()> handler)
     {
--- a/packages/host/include/rhubarbtiller/host/poolcontroller.h
+++ b/packages/host/include/rhubarbtiller/host/poolcontroller.h
@@ -62,6 +62,11 @@
 
     void tick();
     void followOwnership();
+    void sendReport(const config::Host &guardian,
+                    const peer::wire::ServerReport &report,
+                    const std::vector<BackendServerId> &servers,
+                    MonotonicTime now);
+    void forgetOwner(const PoolName &pool, const HostId &owner);
     void reportPool(const PoolName &pool, const std::vector<BackendServerId> &servers);
     void takeReply(const std::vector<BackendServerId> &servers,
                    const PoolName &pool,
@@ -82,6 +87,8 @@
     asio::steady_timer timer;
     std::map<PoolName, Judgement> judgements;
     std::map<PoolName, health::PoolOwnerEpoch> knownEpochs;
+    /// The host that last answered as the owner of a pool.
+    std::map<PoolName, HostId> knownOwners;
     bool isStopped = false;
 };
 
--- a/packages/host/lib/poolcontroller.cpp
+++ b/packages/host/lib/poolcontroller.cpp
@@ -131,23 +131,47 @@
         this->takeReply(servers, pool, now, this->answer(report));
         return;
     }
+    const auto known = this->knownOwners.find(pool);
     for (const auto &guardian : view->placement->guardians(poolView->shard)) {
         const auto host = view->snapshot->hosts().find(guardian);
         if (guardian == this->self || host == view->snapshot->hosts().end()) {
             continue;
         }
-        // Every guardian is asked, since only they know which of them owns the pool; the others ignore the report.
-        peer::wire::Envelope message;
-        message.__set_serverReport(report);
-        this->network.call(
-            host->second.peerAddress, std::move(message), now + ReportTimeout, [this, servers, pool, now](peer::PeerOutcome outcome) {
-                if (!outcome.reply || !(*outcome.reply)->__isset.ejectionReply) {
-                    return;
-                }
-                asio::post(this->strand, [this, servers, pool, now, reply = *outcome.reply] {
-                    this->takeReply(servers, pool, now, reply->ejectionReply);
-                });
-            });
+        // Until one of the guardians says that it owns the pool, all are asked; the others ignore the report.
+        if (known == this->knownOwners.end() || known->second == guardian) {
+            this->sendReport(host->second, report, servers, now);
+        }
+    }
+}
+
+void PoolController::sendReport(const config::Host &guardian,
+                                const peer::wire::ServerReport &report,
+                                const std::vector<BackendServerId> &servers,
+                                MonotonicTime now)
+{
+    peer::wire::Envelope message;
+    message.__set_serverReport(report);
+    const PoolName pool(report.pool);
+    this->network.call(guardian.peerAddress,
+                       std::move(message),
+                       now + ReportTimeout,
+                       [this, servers, pool, now, id = guardian.id](peer::PeerOutcome outcome) {
+                           const auto envelope = outcome.reply ? *outcome.reply : nullptr;
+                           asio::post(this->strand, [this, servers, pool, now, id, envelope] {
+                               if (!envelope || !envelope->__isset.ejectionReply || !envelope->ejectionReply.isPoolOwner) {
+                                   this->forgetOwner(pool, id);
+                                   return;
+                               }
+                               this->knownOwners.insert_or_assign(pool, id);
+                               this->takeReply(servers, pool, now, envelope->ejectionReply);
+                           });
+                       });
+}
+
+void PoolController::forgetOwner(const PoolName &pool, const HostId &owner)
+{
+    if (const auto known = this->knownOwners.find(pool); known != this->knownOwners.end() && known->second == owner) {
+        this->knownOwners.erase(known);
     }
 }
 
--- a/packages/host/lib/rostercontroller.cpp
+++ b/packages/host/lib/rostercontroller.cpp
@@ -148,7 +148,10 @@
 asio::awaitable<std::vector<config::Mutation>> RosterController::removalMutations()
 {
     const auto now = this->clock.now();
-    const auto placement = membership::Placement::build(*this->configs.snapshot());
+    const auto placement = this->leases.currentPlacement();
+    if (!placement) {
+        co_return std::vector<config::Mutation>();
+    }
     std::vector<HostId> silent;
     for (const auto &peer : placement->peersOf(this->self.id)) {
         const auto heard = this->leases.lastHeard(peer);
