--- a/bench/benchpath.cpp
+++ b/bench/benchpath.cpp
@@ -320,8 +320,8 @@
                 "p99.9",
                 "failures");
     for (const auto &[name, entry] : classes.items()) {
-        const auto added = [&](const char *field) {
-            return name == "direct" ? 0.0 : entry.at(field).get<double>() - direct.value(field, 0.0);
+        const auto added = [&direct, isDirect = name == "direct", &values = entry](const char *field) {
+            return isDirect ? 0.0 : values.at(field).get<double>() - direct.value(field, 0.0);
         };
         std::printf("%-16s %8zu %9.2f %9.2f %9.2f   %9.2f %9.2f %9.2f  %s\n",
                     name.c_str(),
@@ -356,6 +356,9 @@
         const double from = processorSeconds(plan);
         generator.run(FLAGS_seconds, true);
         const double used = processorSeconds(plan) - from;
+        const bool hasAllHosts = std::all_of(plan.hosts.begin(), plan.hosts.end(), [](const Host &host) {
+            return std::ifstream("/proc/" + std::to_string(host.pid) + "/stat").good();
+        });
         const double seconds = std::chrono::duration<double>(std::chrono::steady_clock::now() - begin).count();
 
         json result;
@@ -365,6 +368,8 @@
         const double answers = result["classes"]["through hosts"].value("answers", 0.0);
         const double busy = used - idlePerSecond * seconds;
         result["seed"] = FLAGS_seed;
+        // The processor time of a host that ended is lost.
+        result["allHostsAlive"] = hasAllHosts;
         result["hosts"] = plan.hosts.size();
         result["rate"] = FLAGS_rate;
         result["steered"] = FLAGS_steered;
@@ -373,6 +378,9 @@
         result["requestsPerSecondPerCore"] = busy > 0 ? answers / busy : 0;
         result["requestsPerSecondPerCoreWithIdle"] = used > 0 ? answers / used : 0;
         printClasses(result["classes"]);
+        if (!hasAllHosts) {
+            std::printf("a host ended during the run: the processor figures are not valid\n");
+        }
         std::printf("hosts %zu, seed %llu: idle %.2f%% of a core per host, %.2f ms of processor time per request beyond idle,"
                     " %.0f requests a second per core (%.0f with the idle part)\n",
                     plan.hosts.size(),
