host: Export a span for each forwarded request

A forwarded request ran under a span id that no host exported, so the backend span named a parent that does not exist and the hops home and owner were missing from the trace.

Ruled out: the wire message and the backend server, which both carry the caller's trace id.

PeerDispatcher::onForward exports a span "home" or "owner" whose parent is the sender's span.

--- a/packages/host/include/rhubarbtiller/host/peerdispatcher.h
+++ b/packages/host/include/rhubarbtiller/host/peerdispatcher.h
@@ -39,6 +39,7 @@
         HomeService &home;
         ServerOwner &serverOwner;
         RandomSource &random;
+        telemetry::SpanExporter &spans;
     };
 
     /// Precondition: what \p dispatcherParts refers to outlives this object.
--- a/packages/host/lib/hostprocess.cpp
+++ b/packages/host/lib/hostprocess.cpp
@@ -144,7 +144,8 @@
                       this->pools,
                       this->home,
                       this->owner,
-                      this->random})
+                      this->random,
+                      *this->spans})
         , peerServer(peer::makePeerServer(context, this->peerOptions, this->dispatcher))
         , callerServer(http::makeRestinioServer(context, settings.callerAddress, callerLimits(settings.limits), this->pipeline))
         , drain(
--- a/packages/host/lib/peerdispatcher.cpp
+++ b/packages/host/lib/peerdispatcher.cpp
@@ -60,7 +60,8 @@
 {
     const auto now = this->parts.clock.now();
     auto work = fromWire(message, now);
-    work.trace = telemetry::TraceContext::parse(message.traceParent, this->parts.random).child(this->parts.random);
+    const auto sender = telemetry::TraceContext::parse(message.traceParent, this->parts.random);
+    work.trace = sender.child(this->parts.random);
     {
         const std::lock_guard lock(this->mutex);
         // A second copy, or one whose sender has already been told "not run", must not start.
@@ -85,9 +86,16 @@
     const bool isAdmission = message.stage == peer::wire::ForwardStage::ADMISSION;
     asio::co_spawn(
         this->parts.executor,
-        [this, work = std::move(work), server = BackendServerId(message.backendServer), isAdmission, reply = std::move(reply)]() mutable
-        -> asio::awaitable<void> {
+        [this,
+         work = std::move(work),
+         server = BackendServerId(message.backendServer),
+         isAdmission,
+         reply = std::move(reply),
+         parentSpanId = sender.spanId]() mutable -> asio::awaitable<void> {
             const auto id = work.id;
+            const auto trace = work.trace;
+            const auto wallStart = this->parts.clock.wallNow();
+            const auto startedAt = this->parts.clock.now();
             WorkOutcome outcome;
             if (isAdmission) {
                 outcome = co_await this->parts.home.run(std::move(work));
@@ -97,6 +105,13 @@
             peer::wire::Envelope envelope;
             envelope.__set_forwardReply(toWire(outcome));
             reply(std::move(envelope));
+            telemetry::SpanRecord span{isAdmission ? "home" : "owner",
+                                       trace,
+                                       std::move(parentSpanId),
+                                       wallStart,
+                                       this->parts.clock.now() - startedAt,
+                                       {{"request", id.text()}, {"execution", std::string(routing::executionWord(outcome.execution))}}};
+            this->parts.spans.exportSpan(std::move(span));
             {
                 const std::lock_guard lock(this->mutex);
                 this->deduplicator.onFinished(id, this->parts.clock.now());
