--- a/packages/testing/include/rhubarbtiller/testing/backendstandin.h
+++ b/packages/testing/include/rhubarbtiller/testing/backendstandin.h
@@ -110,6 +110,7 @@
     std::string method;
     std::string target;
     std::string organisation;
+    std::string traceParent;
     std::vector<std::string> headerNames;
     bool containsSecret = false;
     bool wasCold = false;
--- a/packages/testing/lib/backendstandin.cpp
+++ b/packages/testing/lib/backendstandin.cpp
@@ -234,6 +234,7 @@
     execution.method = request.method;
     execution.target = request.target;
     execution.organisation = headerValue(request.headers, "rhubarbtiller-organisation");
+    execution.traceParent = headerValue(request.headers, "traceparent");
     execution.wasCold = this->isCold();
     execution.concurrency = this->running;
     execution.startedAt = wallMicroseconds();
@@ -464,6 +465,7 @@
                         {"target", execution.target},
                         {"path", execution.target.substr(0, execution.target.find('?'))},
                         {"organisation", execution.organisation},
+                        {"traceParent", execution.traceParent},
                         {"headerNames", execution.headerNames},
                         {"containsSecret", execution.containsSecret},
                         {"wasCold", execution.wasCold},
