--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -108,7 +108,7 @@
     /// Ends the watch, waits until no server works, collects the executions and returns the history.
     History finish();
 
-    /// Prints the violations with the records of the calls that they name, and keeps the logs if there are any.
+    /// Prints the violations with the records of the calls that they name; also false if a host ended by itself. Keeps the logs then.
     bool isClean(const History &history, const std::vector<Violation> &violations);
 
     HistoryRecorder recorder;
@@ -130,6 +130,7 @@
     FleetOptions options;
     std::filesystem::path folder;
     bool keepsLogs = false;
+    bool hasUnexpectedEnd = false;
     std::unique_ptr<Process> platform;
     std::string platformAddress;
     std::vector<std::unique_ptr<Process>> servers;
