--- a/packages/host/include/rhubarbtiller/host/leasecontroller.h
+++ b/packages/host/include/rhubarbtiller/host/leasecontroller.h
@@ -101,6 +101,8 @@
     membership::VoteGuardian guardian;
     membership::VoteHolder holder;
     std::map<HostId, Endpoint> peerAddresses;
+    /// The run of each host that the roster shows.
+    std::map<HostId, Incarnation> incarnations;
     std::map<HostId, MonotonicTime> heardAt;
     /// Since when each vote has been held without interruption.
     std::map<std::pair<ShardId, HostId>, MonotonicTime> heldSince;
--- a/packages/host/include/rhubarbtiller/host/peerdispatcher.h
+++ b/packages/host/include/rhubarbtiller/host/peerdispatcher.h
@@ -7,6 +7,7 @@
 #include <rhubarbtiller/host/serverowner.h>
 #include <rhubarbtiller/peer/messagededuplicator.h>
 #include <rhubarbtiller/peer/peernetwork.h>
+#include <rhubarbtiller/telemetry/span.h>
 
 #include <asio/any_io_executor.hpp>
 
--- a/packages/host/lib/answers.cpp
+++ b/packages/host/lib/answers.cpp
@@ -43,7 +43,9 @@
         response = std::move(*outcome.response);
         removeHopHeaders(response.headers);
         removeHeader(response.headers, "Content-Length");
-        removeHeader(response.headers, "Rhubarbtiller-Executed");
+        for (const auto *const name : {"Rhubarbtiller-Executed", "Rhubarbtiller-Reason", "Rhubarbtiller-Request"}) {
+            removeHeader(response.headers, name);
+        }
     } else {
         response = refusalResponse(outcome.refusal, id);
     }
--- a/packages/host/lib/hostprocess.cpp
+++ b/packages/host/lib/hostprocess.cpp
@@ -35,6 +35,9 @@
 /// A token bucket that was not used for this long is dropped.
 static constexpr Duration IdleRateTime = std::chrono::minutes(1);
 
+/// A backend server bears about 400 connections; its slots, which its one owner grants, bound the requests far below this.
+static constexpr std::uint32_t MaxBackendConnections = 400;
+
 /// Operators need few connections; a lost scraper must not take all of them.
 static constexpr std::uint32_t MaxOperatorConnections = 64;
 
@@ -60,6 +63,14 @@
     return {server, platform.region, platform.credential};
 }
 
+static http::CurlClientOptions backendClientOptions()
+{
+    http::CurlClientOptions options;
+    options.maxConnectionsPerServer = MaxBackendConnections;
+    options.maxIdleConnections = MaxBackendConnections;
+    return options;
+}
+
 static peer::PeerOptions peerOptionsOf(const settings::HostSettings &settings, std::shared_ptr<const peer::LinkFilter> filter)
 {
     peer::PeerOptions options;
@@ -88,7 +99,7 @@
         , peerOptions(peerOptionsOf(settings, this->linkFaults))
         , network(peer::makePeerNetwork(context, this->clock, this->peerOptions))
         , platformClient(http::makeCurlHttpClient(context, this->clock))
-        , backendClient(http::makeCurlHttpClient(context, this->clock))
+        , backendClient(http::makeCurlHttpClient(context, this->clock, backendClientOptions()))
         , tables(*this->platformClient, accessTo(settings.platform.tableAddress, settings.platform), settings.platform.tableName)
         , objects(*this->platformClient, accessTo(settings.platform.objectAddress, settings.platform), settings.platform.bucket)
         , hostList(*this->platformClient, settings.platform.hostListAddress, settings.platform.hostListTarget)
--- a/packages/host/lib/leasecontroller.cpp
+++ b/packages/host/lib/leasecontroller.cpp
@@ -70,6 +70,7 @@
     this->peerAddresses.clear();
     for (const auto &[id, host] : snapshot.hosts()) {
         this->peerAddresses.emplace(id, host.peerAddress);
+        this->incarnations.insert_or_assign(id, host.incarnation);
     }
     std::erase_if(this->leavingPeers, [this](const HostId &peer) {
         return !this->peerAddresses.contains(peer);
@@ -138,7 +139,9 @@
     const auto now = this->clock.now();
     this->heardAt[peer] = now;
     this->lease.onReplyEvidence(fromWire(reply.evidence), sentAt, now);
-    this->noteLeaving(peer, reply.leaving);
+    if (reply.leaving) {
+        this->noteLeaving(peer, true);
+    }
     this->takeVotes(peer, request, sentAt, fromWire(reply));
     this->publish();
 }
@@ -175,7 +178,10 @@
         return;
     }
     this->lease.onRequestEvidence(fromWire(message.evidence));
-    this->noteLeaving(sender, message.leaving);
+    // A process that the roster does not show yet may listen elsewhere; callers are not sent to it until it has joined.
+    const auto known = this->incarnations.find(sender);
+    const bool isListed = known != this->incarnations.end() && known->second == request.incarnation;
+    this->noteLeaving(sender, message.leaving || !isListed);
     auto body = toWire(this->guardian.onVoteRequest(request, this->lease.state(now), now));
     body.evidence = toWire(this->lease.evidenceVector(now));
     body.leaving = this->isLeaving;
--- a/packages/operatorclient/include/rhubarbtiller/operatorclient/session.h
+++ b/packages/operatorclient/include/rhubarbtiller/operatorclient/session.h
@@ -57,6 +57,12 @@
     /// \p edit is asked again whenever another change came in between. Precondition: none.
     ExitCode change(const EditFunction &edit);
 
+    /// Returns whether the last change() may stand in the log. Precondition: change() was called.
+    bool changeMayBeWritten() const
+    {
+        return this->mayBeWritten;
+    }
+
     /// Asks all hosts of the roster for their state. Precondition: none.
     std::vector<HostReport> askHosts(const config::Snapshot &snapshot);
 
@@ -69,6 +75,7 @@
 private:
     Result<http::HttpResponse> ask(const config::Host &host, const std::string &method, const std::string &target, Duration timeout);
     ExitCode resolve(const config::Change &change);
+    bool isSettled(const config::Snapshot &snapshot, ConfigVersion version, std::size_t first);
     ExitCode waitForAcceptance(ConfigVersion version);
 
     settings::OperatorSettings settings;
@@ -77,6 +84,7 @@
     platform::ChangeLogStore &store;
     RandomSource &randomSource;
     std::ostream &output;
+    bool mayBeWritten = false;
 };
 
 } // namespace rhubarbtiller::operatorclient
--- a/packages/operatorclient/lib/commands.cpp
+++ b/packages/operatorclient/lib/commands.cpp
@@ -178,7 +178,7 @@
         return {{config::PutRow{row}, config::PutRow{grantRow}}, ExitCode::Success, {}};
     });
     // A key that may have been written is shown as well: it cannot be read back later.
-    if (code == ExitCode::Success || code == ExitCode::NotYetAccepted || code == ExitCode::StoreUnavailable) {
+    if (session->changeMayBeWritten()) {
         context.output << "key name: " << name.text() << "\nkey: " << secret << "\n";
     }
     return code;
@@ -336,7 +336,7 @@
     }
     const auto document = statusDocument(*snapshot.value(), session->askHosts(*snapshot.value()));
     if (context.options.asJson) {
-        context.output << document.dump(2) << "\n";
+        context.output << document.dump(2, ' ', false, json::error_handler_t::replace) << "\n";
         return ExitCode::Success;
     }
     printStatus(document, context.output);
--- a/packages/operatorclient/lib/session.cpp
+++ b/packages/operatorclient/lib/session.cpp
@@ -84,6 +84,7 @@
 
 ExitCode Session::change(const EditFunction &edit)
 {
+    this->mayBeWritten = false;
     for (int number = 0; number < MaxTries; ++number) {
         const auto snapshot = this->load();
         if (!snapshot) {
@@ -108,6 +109,7 @@
             this->output << "the change holds a value that is not allowed: " << decoded.error().message() << "; nothing was changed\n";
             return ExitCode::Invalid;
         }
+        this->mayBeWritten = true;
         const auto result = blockOn<platform::AppendResult>([&](auto handler) {
             this->store.append(change, base, this->clock.now() + StoreTimeout, std::move(handler));
         });
@@ -115,6 +117,7 @@
         case platform::AppendOutcome::Committed:
             return this->waitForAcceptance(change.version);
         case platform::AppendOutcome::Conflict:
+            this->mayBeWritten = false;
             continue;
         case platform::AppendOutcome::Unresolved:
             return this->resolve(change);
@@ -169,28 +172,37 @@
     return document.value("settledVersion", std::uint64_t{0});
 }
 
+bool Session::isSettled(const config::Snapshot &snapshot, ConfigVersion version, std::size_t first)
+{
+    std::vector<config::Host> hosts;
+    for (const auto &[id, host] : snapshot.hosts()) {
+        hosts.push_back(host);
+    }
+    for (std::size_t i = 0; i < std::min(HostsAsked, hosts.size()); ++i) {
+        const auto response = this->ask(hosts[(first + i) % hosts.size()], "GET", "/state", HostTimeout);
+        if (response && response->status == 200 && settledVersionOf(response->body) >= version.count()) {
+            return true;
+        }
+    }
+    return false;
+}
+
 ExitCode Session::waitForAcceptance(ConfigVersion version)
 {
     const auto deadline = this->clock.now() + AcceptanceTime;
+    std::size_t first = 0;
     while (this->clock.now() < deadline) {
         const auto snapshot = this->load();
         if (snapshot && snapshot.value()->hosts().empty()) {
             this->output << "version " << version.count() << " is accepted; no host is in the roster\n";
             return ExitCode::Success;
         }
-        std::size_t asked = 0;
-        if (snapshot) {
-            for (const auto &[id, host] : snapshot.value()->hosts()) {
-                const auto response = this->ask(host, "GET", "/state", HostTimeout);
-                if (response && response->status == 200 && settledVersionOf(response->body) >= version.count()) {
-                    this->output << "version " << version.count() << " is accepted: in force on every host that serves\n";
-                    return ExitCode::Success;
-                }
-                if (++asked == HostsAsked) {
-                    break;
-                }
-            }
+        // Others are asked in each round: hosts that do not answer must not hide that the version is settled.
+        if (snapshot && this->isSettled(*snapshot.value(), version, first)) {
+            this->output << "version " << version.count() << " is accepted: in force on every host that serves\n";
+            return ExitCode::Success;
         }
+        first += HostsAsked;
         std::this_thread::sleep_for(AcceptancePoll);
     }
     this->output << "version " << version.count() << " is written and will come into force, but is not yet accepted\n";
