Give the home an earlier deadline, and let the path tests wait for owned servers

Cause: the home of an organisation had the same deadline as the entry host, so its answer about a silent server owner came too late and the healthy home was suspected. Path tests began before servers had owners, since these now wait until the version that placed a server is settled. Ruled out: a longer wait in single tests; the fixture's condition was incomplete.

--- a/packages/host/lib/forwardclient.cpp
+++ b/packages/host/lib/forwardclient.cpp
@@ -11,7 +11,7 @@
 using routing::Reason;
 
 /// How long the caller of a broken forward waits to learn whether the peer had started.
-static constexpr Duration CancelTimeout = std::chrono::milliseconds(250);
+static constexpr Duration CancelTimeout = std::chrono::milliseconds(100);
 
 ForwardClient::ForwardClient(const Clock &systemClock, peer::PeerNetwork &peerNetwork, PeerHealth &peerHealth)
     : clock(systemClock), network(peerNetwork), peers(peerHealth)
--- a/packages/host/lib/leasecontroller.cpp
+++ b/packages/host/lib/leasecontroller.cpp
@@ -120,7 +120,7 @@
     body.evidence = toWire(this->lease.evidenceVector(now));
     body.leaving = this->isLeaving;
     message.__set_voteRequest(body);
-    this->network.call(address->second, std::move(message), now + AskTimeout, [this, peer, request, now](peer::PeerOutcome outcome) {
+    this->network.call(address->second, std::move(message), now + AskTimeout, [this, peer, request, now](const peer::PeerOutcome &outcome) {
         if (!outcome.reply || !(*outcome.reply)->__isset.voteReply) {
             return;
         }
--- a/packages/host/lib/poolcontroller.cpp
+++ b/packages/host/lib/poolcontroller.cpp
@@ -155,7 +155,7 @@
     this->network.call(guardian.peerAddress,
                        std::move(message),
                        now + ReportTimeout,
-                       [this, servers, pool, now, id = guardian.id](peer::PeerOutcome outcome) {
+                       [this, servers, pool, now, id = guardian.id](const peer::PeerOutcome &outcome) {
                            const auto envelope = outcome.reply ? *outcome.reply : nullptr;
                            asio::post(this->strand, [this, servers, pool, now, id, envelope] {
                                if (!envelope || !envelope->__isset.ejectionReply || !envelope->ejectionReply.isPoolOwner) {
--- a/packages/host/lib/requestpipeline.cpp
+++ b/packages/host/lib/requestpipeline.cpp
@@ -25,6 +25,9 @@
 
 static constexpr Duration StaleRetryAfter = std::chrono::seconds(1);
 
+/// Time that the home needs to ask a silent server owner whether a request has started, and to answer.
+static constexpr Duration HomeAnswerTime = std::chrono::milliseconds(150);
+
 /// A shard changes its holder within a few of these.
 static constexpr std::chrono::milliseconds HomeRetryPause{50};
 
@@ -177,6 +180,14 @@
     co_return co_await this->runAtHome(accepted);
 }
 
+/// Returns the deadline for the home, early enough that its answer about a silent backend server still arrives in time.
+///
+/// With the same deadline the entry host would take the home for silent, suspect it, and lose its more precise answer.
+static MonotonicTime homeDeadline(MonotonicTime deadline, MonotonicTime now)
+{
+    return deadline - std::min(HomeAnswerTime, (deadline - now) / 4);
+}
+
 /// Returns whether the refusal only says that the request came to a host that cannot admit it now.
 static bool isMisdirected(const WorkOutcome &outcome)
 {
@@ -232,6 +243,7 @@
             } else {
                 Work hopWork = work;
                 hopWork.id = RequestId(work.id.text() + "-h" + std::to_string(hop++));
+                hopWork.deadline = homeDeadline(work.deadline, now);
                 const BackendServerId noServer;
                 last = co_await this->parts.forwarder.forward(host->second, std::move(hopWork), noServer, work.deadline);
             }
--- a/packages/host/unittests/fleetfixture.cpp
+++ b/packages/host/unittests/fleetfixture.cpp
@@ -237,6 +237,7 @@
 bool Fleet::isReady() const
 {
     std::set<int> owned;
+    std::set<std::string> ownedServers;
     for (std::size_t i = 0; i < HostCount; ++i) {
         const auto document = this->state(i);
         if (!document.is_object() || !document["listed"].get<bool>() || document["freshForMs"].get<int>() == 0) {
@@ -251,9 +252,15 @@
             if (server["limit"].get<int>() == 0) {
                 return false;
             }
+            ownedServers.insert(server["server"].get<std::string>());
         }
     }
-    return owned.size() == 16;
+    // A server is owned only once the version that placed it is settled, seconds after its shard has an owner.
+    std::size_t placed = 0;
+    for (const auto &[name, pool] : this->snapshot->pools()) {
+        placed += pool->servers.size();
+    }
+    return owned.size() == 16 && ownedServers.size() == placed;
 }
 
 const config::Host &Fleet::row(std::size_t host) const
--- a/packages/operatorclient/lib/session.cpp
+++ b/packages/operatorclient/lib/session.cpp
@@ -175,6 +175,7 @@
 bool Session::isSettled(const config::Snapshot &snapshot, ConfigVersion version, std::size_t first)
 {
     std::vector<config::Host> hosts;
+    hosts.reserve(snapshot.hosts().size());
     for (const auto &[id, host] : snapshot.hosts()) {
         hosts.push_back(host);
     }
@@ -212,6 +213,7 @@
 std::vector<HostReport> Session::askHosts(const config::Snapshot &snapshot)
 {
     std::vector<std::thread> threads;
+    threads.reserve(snapshot.hosts().size());
     std::vector<HostReport> reports;
     reports.reserve(snapshot.hosts().size());
     for (const auto &[id, host] : snapshot.hosts()) {
--- a/packages/testing/lib/backendstandin.cpp
+++ b/packages/testing/lib/backendstandin.cpp
@@ -517,7 +517,7 @@
 
 static GrayKind grayKindFrom(const std::string &text)
 {
-    static const std::map<std::string, GrayKind> Kinds = {{"fail", GrayKind::Fail},
+    static const std::map<std::string, GrayKind> kinds = {{"fail", GrayKind::Fail},
                                                           {"slow", GrayKind::Slow},
                                                           {"late-answer", GrayKind::LateAnswer},
                                                           {"cut-short", GrayKind::CutShort},
@@ -527,7 +527,7 @@
                                                           {"reset-before", GrayKind::ResetBefore},
                                                           {"reset-after", GrayKind::ResetAfter},
                                                           {"hang", GrayKind::Hang}};
-    return Kinds.at(text);
+    return kinds.at(text);
 }
 
 /// Throws on a member that is not known: a misspelt member would otherwise leave a test without the fault it asks for.
--- a/packages/testing/lib/platformstandin.cpp
+++ b/packages/testing/lib/platformstandin.cpp
@@ -186,14 +186,14 @@
 
 bool PlatformStandin::applyFaults(const std::string &json)
 {
-    static const std::map<std::string, OutageMode> Outages
+    static const std::map<std::string, OutageMode> outages
         = {{"none", OutageMode::None}, {"refuse", OutageMode::Refuse}, {"silent", OutageMode::Silent}, {"reset", OutageMode::Reset}};
-    static const std::set<std::string> Known
+    static const std::set<std::string> known
         = {"service", "outage", "delayMs", "loseNextWriteAnswers", "lateNextWrites", "lateMs", "readsPerSecond", "writesPerSecond"};
     try {
         const Json object = Json::parse(json);
         for (const auto &member : object.items()) {
-            if (!Known.contains(member.key())) {
+            if (!known.contains(member.key())) {
                 return false;
             }
         }
@@ -209,7 +209,7 @@
             Service next = service;
             ServiceFaults &faults = next.faults;
             if (object.contains("outage")) {
-                faults.outage = Outages.at(object.at("outage").get<std::string>());
+                faults.outage = outages.at(object.at("outage").get<std::string>());
             }
             if (object.contains("delayMs")) {
                 faults.delay = std::chrono::milliseconds(object.at("delayMs").get<std::int64_t>());
