Name local constants as the linter asks

Cause: the rule for local static constants was dropped from .clang-tidy because it contradicted other names. Ruled out: an exception for single lines. Change: two names in the platform package. Before: clang-tidy reported two errors there. After: platform_tests pass; the lint of the whole tree is running. Conclusion: none.

--- a/packages/platform/lib/callerrors.cpp
+++ b/packages/platform/lib/callerrors.cpp
@@ -70,7 +70,7 @@
 
 PlatformError fromDynamoError(const http::HttpResponse &response)
 {
-    static const std::map<std::string, PlatformError> ByType = {
+    static const std::map<std::string, PlatformError> byType = {
         {"ConditionalCheckFailedException", PlatformError::ConditionFailed},
         {"TransactionConflictException", PlatformError::TransactionConflict},
         // The first transaction with this token is still under way, so its outcome is open.
@@ -100,7 +100,7 @@
     if (type == "TransactionCanceledException") {
         return fromCancellation(body);
     }
-    if (const auto known = ByType.find(type); known != ByType.end()) {
+    if (const auto known = byType.find(type); known != byType.end()) {
         return known->second;
     }
     // A missing table is a wrong setting and must not look like a missing item.
--- a/packages/platform/lib/errors.cpp
+++ b/packages/platform/lib/errors.cpp
@@ -44,8 +44,8 @@
 
 const std::error_category &platformCategory()
 {
-    static const PlatformCategory Category;
-    return Category;
+    static const PlatformCategory category;
+    return category;
 }
 
 std::error_code make_error_code(PlatformError error)
