Use the digest functions of the base package everywhere

Ruled out: merging http's and peer's copies of the address parsing as well: base has no Asio, and the packages do not depend on each other, so a place for it has to be chosen first. Conclusion: one implementation of each.

--- a/packages/platform/lib/changelogstore.cpp
+++ b/packages/platform/lib/changelogstore.cpp
@@ -1,6 +1,5 @@
 #include <rhubarbtiller/platform/changelogstore.h>
 
-#include "digest.h"
 #include "logitems.h"
 
 #include <rhubarbtiller/config/codec.h>
--- a/packages/platform/lib/logitems.cpp
+++ b/packages/platform/lib/logitems.cpp
@@ -1,7 +1,6 @@
 #include "logitems.h"
 
-#include "digest.h"
-
+#include <rhubarbtiller/base/digest.h>
 #include <rhubarbtiller/config/codec.h>
 
 #include <algorithm>
--- a/packages/platform/lib/s3objectstore.cpp
+++ b/packages/platform/lib/s3objectstore.cpp
@@ -1,7 +1,8 @@
 #include <rhubarbtiller/platform/s3objectstore.h>
 
 #include "callerrors.h"
-#include "digest.h"
+
+#include <rhubarbtiller/base/digest.h>
 
 #include <utility>
 
--- a/packages/platform/lib/snapshots.cpp
+++ b/packages/platform/lib/snapshots.cpp
@@ -1,8 +1,8 @@
 #include <rhubarbtiller/platform/changelogstore.h>
 
-#include "digest.h"
 #include "logitems.h"
 
+#include <rhubarbtiller/base/digest.h>
 #include <rhubarbtiller/config/codec.h>
 #include <rhubarbtiller/platform/errors.h>
 
