--- a/apps/rhubarbtiller/main.cpp
+++ b/apps/rhubarbtiller/main.cpp
@@ -1,3 +1,6 @@
+#include "exitcodes.h"
+#include "gatewaymain.h"
+
 #include <rhubarbtiller/host/hostprocess.h>
 #include <rhubarbtiller/settings/settings.h>
 #include <rhubarbtiller/telemetry/log.h>
@@ -13,25 +16,11 @@
 #include <vector>
 
 DEFINE_string(settings, "", "file with the settings of this host, JSON with comments");
+DEFINE_bool(gateway, false, "run as a host of a gateway fleet on the platform");
 DEFINE_bool(check, false, "check the settings and end");
 
 using namespace rhubarbtiller;
 
-static constexpr int ExitUsage = 1;
-static constexpr int ExitSettings = 2;
-static constexpr int ExitPorts = 3;
-
-static telemetry::LogLevel logLevelByName(const std::string &name)
-{
-    if (name == "debug") {
-        return telemetry::LogLevel::Debug;
-    }
-    if (name == "warning") {
-        return telemetry::LogLevel::Warning;
-    }
-    return name == "error" ? telemetry::LogLevel::Error : telemetry::LogLevel::Info;
-}
-
 static std::optional<settings::HostSettings> readSettings(const std::string &path)
 {
     std::ifstream file(path);
@@ -79,12 +68,15 @@
 
 int main(int argc, char **argv)
 {
-    gflags::SetUsageMessage("runs the proxy on an entry host: rhubarbtiller --settings=FILE");
+    gflags::SetUsageMessage("runs the proxy on an entry host: rhubarbtiller --settings=FILE [--gateway]");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     if (FLAGS_settings.empty() || argc > 1) {
-        std::cerr << "rhubarbtiller --settings=FILE [--check]\n";
+        std::cerr << "rhubarbtiller --settings=FILE [--gateway] [--check]\n";
         return ExitUsage;
     }
+    if (FLAGS_gateway) {
+        return runGateway(FLAGS_settings, FLAGS_check);
+    }
     const auto hostSettings = readSettings(FLAGS_settings);
     if (!hostSettings) {
         return ExitSettings;
@@ -95,6 +87,6 @@
     }
     // A caller or server that closes its connection must not end the process.
     std::signal(SIGPIPE, SIG_IGN);
-    telemetry::setLogLevel(logLevelByName(hostSettings->logLevel));
+    telemetry::setLogLevel(telemetry::logLevelByName(hostSettings->logLevel));
     return runHost(*hostSettings);
 }
--- a/apps/rhubarbtillerctl/main.cpp
+++ b/apps/rhubarbtillerctl/main.cpp
@@ -1,7 +1,7 @@
 #include <rhubarbtiller/http/curlhttpclient.h>
 #include <rhubarbtiller/operatorclient/commands.h>
-#include <rhubarbtiller/platform/dynamotableservice.h>
-#include <rhubarbtiller/platform/s3objectstore.h>
+#include <rhubarbtiller/tablestore/dynamotableservice.h>
+#include <rhubarbtiller/tablestore/s3objectstore.h>
 
 #include <asio/executor_work_guard.hpp>
 #include <asio/io_context.hpp>
@@ -57,9 +57,9 @@
     asio::io_context context;
     asio::executor_work_guard<asio::io_context::executor_type> work;
     std::unique_ptr<http::HttpClient> client;
-    platform::DynamoTableService tables;
-    platform::S3ObjectStore objects;
-    platform::ChangeLogStore store;
+    tablestore::DynamoTableService tables;
+    tablestore::S3ObjectStore objects;
+    tablestore::ChangeLogStore store;
     operatorclient::Session session;
     std::thread thread;
 };
--- /dev/null
+++ b/packages/balance/include/rhubarbtiller/balance/failureestimator.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <rhubarbtiller/base/clock.h>
+
+#include <string_view>
+
+namespace rhubarbtiller::balance {
+
+/// What a request showed about the backend server that it was sent to.
+enum class Evidence {
+    /// A whole answer of the server, not a server error.
+    Success,
+    /// A whole answer that reports an error of the server.
+    ServerError,
+    /// The connection broke, or the answer was malformed or incomplete.
+    BrokenAnswer,
+    /// No answer for far longer than requests usually take.
+    Overdue,
+    /// The server refused the request without running it.
+    Shed,
+};
+
+/// Returns the word for logs and metrics. Precondition: none. Thread safety: any thread.
+std::string_view evidenceWord(Evidence evidence);
+
+/// Estimates the probability that the next request to one backend server fails.
+///
+/// A two-state hidden Markov filter: the server is sound or failing, changes between the two at known mean rates, and each
+/// request is evidence for one of them. One failure is enough to prefer other servers, two or three successes to return.
+/// Thread safety: one thread.
+class FailureEstimator
+{
+public:
+    /// Takes one piece of evidence. Precondition: \p now does not go back.
+    void observe(Evidence evidence, MonotonicTime now);
+
+    /// Returns the probability that the server is in its failing state. Precondition: none.
+    double failingProbability(MonotonicTime now) const;
+
+    /// Returns the probability that a request sent now fails. Precondition: none.
+    double failureProbability(MonotonicTime now) const;
+
+private:
+    double failing = InitialFailing;
+    MonotonicTime updatedAt{};
+
+    /// Probability that a server is failing about which nothing is known.
+    static constexpr double InitialFailing = 0.1;
+};
+
+} // namespace rhubarbtiller::balance
--- /dev/null
+++ b/packages/balance/include/rhubarbtiller/balance/hostdirectory.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include <rhubarbtiller/base/clock.h>
+#include <rhubarbtiller/base/strongid.h>
+#include <rhubarbtiller/base/strongnumber.h>
+
+#include <map>
+#include <vector>
+
+namespace rhubarbtiller::balance {
+
+/// What a host says of itself.
+struct HostRecord
+{
+    HostId id;
+    FailureDomainId failureDomain;
+    Endpoint callerAddress;
+    Endpoint peerAddress;
+    Endpoint controlAddress;
+    /// Later runs of a process have larger numbers; hosts that have run longest come first.
+    Incarnation incarnation;
+    bool isLeaving = false;
+    /// Within this time the host says something again.
+    Duration beatInterval = std::chrono::milliseconds(250);
+
+    bool operator==(const HostRecord &) const = default;
+};
+
+/// The hosts that live, as this host hears, and which of them callers are told to use.
+///
+/// In each failure domain the hosts that have run longest are entry hosts; the others stand by. Few entry hosts see enough
+/// requests each to find a failing backend server after one or two failures. Thread safety: one thread.
+class HostDirectory
+{
+public:
+    /// Precondition: \p own names this host; \p entryHostsPerDomain is above 0.
+    HostDirectory(HostRecord own, unsigned entryHostsPerDomain);
+
+    /// Takes what a host said of itself, directly. Precondition: \p now does not go back.
+    void onBeat(const HostRecord &record, MonotonicTime now);
+
+    /// Notes a host that another source named; it counts as living only once it is heard. Precondition: none.
+    void onMentioned(const HostRecord &record);
+
+    /// Marks this host as leaving. Precondition: none.
+    void beginLeaving();
+
+    /// Returns the living hosts of a failure domain that are not leaving, those that have run longest first.
+    ///
+    /// Precondition: none.
+    std::vector<const HostRecord *> livingHosts(const FailureDomainId &domain, MonotonicTime now) const;
+
+    /// Returns the hosts that callers of a failure domain use; those of other domains if it has none. Precondition: none.
+    std::vector<const HostRecord *> entryHostsFor(const FailureDomainId &domain, MonotonicTime now) const;
+
+    /// Returns the entry hosts of all failure domains. Precondition: none.
+    std::vector<const HostRecord *> allEntryHosts(MonotonicTime now) const;
+
+    /// Returns the position of this host among the living hosts of its domain; beyond all if it is leaving.
+    ///
+    /// Precondition: none.
+    std::size_t ownRank(MonotonicTime now) const;
+
+    /// Returns whether callers are sent to this host. Precondition: none.
+    bool isEntryHost(MonotonicTime now) const;
+
+    /// Returns every host that was heard or mentioned, except those that are silent for long. Precondition: none.
+    std::vector<const HostRecord *> knownHosts(MonotonicTime now) const;
+
+    /// Returns the hosts that were mentioned and not heard yet. Precondition: none.
+    std::vector<const HostRecord *> unheardHosts() const;
+
+    const HostRecord &own() const
+    {
+        return this->self;
+    }
+
+    unsigned entryHostsPerDomain() const
+    {
+        return this->perDomain;
+    }
+
+private:
+    struct Known
+    {
+        HostRecord record;
+        /// Unset until the host was heard itself.
+        MonotonicTime livesUntil{};
+        MonotonicTime forgottenAt{};
+        bool isHeard = false;
+    };
+
+    HostRecord self;
+    const unsigned perDomain;
+    std::map<HostId, Known> hosts;
+};
+
+} // namespace rhubarbtiller::balance
--- /dev/null
+++ b/packages/balance/include/rhubarbtiller/balance/placement.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <rhubarbtiller/balance/scoreboard.h>
+#include <rhubarbtiller/base/random.h>
+
+namespace rhubarbtiller::balance {
+
+/// A request that needs a backend server.
+struct PlacementQuery
+{
+    catalog::ServiceName service;
+    /// The failure domain of this host.
+    FailureDomainId ownDomain;
+    /// Whether a failed attempt can be repeated on another server.
+    bool canRepeat = false;
+    /// Servers that were tried already.
+    std::vector<BackendServerId> excluded;
+    /// Time that the caller still waits.
+    Duration remaining{};
+    /// Entry hosts of this failure domain that share the cold rate of a server.
+    unsigned entryHostsInDomain = 1;
+    /// Whether callers are sent to this host; others leave cold servers alone.
+    bool isEntryHost = true;
+};
+
+/// Why no server was found.
+enum class PlacementFailure {
+    None,
+    /// The service has no server that may be used.
+    NoServer,
+    /// All servers are full.
+    Saturated,
+};
+
+/// The chosen server, with the figures that decided.
+struct Placement
+{
+    const catalog::ServerEntry *server = nullptr;
+    PlacementFailure failure = PlacementFailure::NoServer;
+    double failureProbability = 0;
+    std::uint32_t outstanding = 0;
+    bool isCold = false;
+};
+
+/// Chooses the backend server with the lowest expected cost: probability of failure, queueing, distance.
+///
+/// Requests that can be repeated also try servers that were not used for long, so that there is fresh evidence on all
+/// servers for the requests that cannot. Thread safety: one thread.
+/// Precondition: \p state holds a server table.
+Placement chooseServer(const PlacementQuery &query,
+                       const catalog::FleetState &state,
+                       Scoreboard &board,
+                       RandomSource &random,
+                       MonotonicTime now);
+
+} // namespace rhubarbtiller::balance
--- /dev/null
+++ b/packages/balance/include/rhubarbtiller/balance/retrybudget.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <rhubarbtiller/base/clock.h>
+#include <rhubarbtiller/catalog/catalog.h>
+
+#include <array>
+
+namespace rhubarbtiller::balance {
+
+/// The bounds of a retry budget, for all hosts together.
+struct RetryBudgetBounds
+{
+    /// Repeats for each request.
+    double ratio = 0.2;
+    /// Repeats in a window that need no request.
+    double slack = 0;
+    Duration window = std::chrono::seconds(10);
+};
+
+/// Bounds the repeats that one host sends to each service, within its part of the budget of the fleet.
+///
+/// Thread safety: one thread.
+class RetryBudget
+{
+public:
+    /// Precondition: \p entryHosts is above 0.
+    RetryBudget(const RetryBudgetBounds &bounds, unsigned entryHosts);
+
+    /// Counts a request of a caller. Precondition: \p now does not go back.
+    void onRequest(const catalog::ServiceName &service, MonotonicTime now);
+
+    /// Takes a repeat from the budget if it has one left. Precondition: \p now does not go back.
+    bool tryRepeat(const catalog::ServiceName &service, MonotonicTime now);
+
+private:
+    static constexpr std::size_t SliceCount = 20;
+
+    struct Slice
+    {
+        std::int64_t number = -1;
+        std::uint32_t requests = 0;
+        std::uint32_t repeats = 0;
+    };
+
+    using Slices = std::array<Slice, SliceCount>;
+
+    Slice &currentSlice(Slices &slices, MonotonicTime now) const;
+
+    double ratio;
+    double ownSlack;
+    Duration sliceLength;
+    std::unordered_map<catalog::ServiceName, Slices> services;
+};
+
+} // namespace rhubarbtiller::balance
--- /dev/null
+++ b/packages/balance/include/rhubarbtiller/balance/scoreboard.h
@@ -0,0 +1,110 @@
+#pragma once
+
+#include <rhubarbtiller/balance/failureestimator.h>
+#include <rhubarbtiller/balance/tokenbucket.h>
+#include <rhubarbtiller/catalog/servertable.h>
+
+#include <map>
+#include <unordered_map>
+
+namespace rhubarbtiller::balance {
+
+/// One piece of evidence about a backend server, for other hosts.
+struct EvidenceReport
+{
+    BackendServerId server;
+    Evidence evidence = Evidence::Success;
+};
+
+/// How many requests one host has at a backend server.
+struct OutstandingReport
+{
+    BackendServerId server;
+    std::uint32_t requests = 0;
+};
+
+/// What one host knows of one backend server.
+class ServerState
+{
+public:
+    FailureEstimator estimator;
+    /// Requests of this host that the server works on.
+    std::uint32_t ownOutstanding = 0;
+    /// When this host last sent a request there.
+    MonotonicTime lastUsedAt{};
+    /// Until then no connection is opened, since the last one failed.
+    MonotonicTime connectBackoffUntil{};
+    unsigned connectFailures = 0;
+    /// Requests that this host may send while the server is cold.
+    TokenBucket coldBucket;
+    bool hasColdBucket = false;
+
+    /// Returns the requests that other hosts have there. Precondition: none.
+    std::uint32_t remoteOutstanding(MonotonicTime now) const;
+
+    /// Replaces what a host reported. Precondition: none.
+    void setRemoteOutstanding(const HostId &host, std::uint32_t requests, MonotonicTime now);
+
+private:
+    struct Remote
+    {
+        std::uint32_t requests = 0;
+        MonotonicTime validUntil{};
+    };
+
+    std::map<HostId, Remote> remotes;
+};
+
+/// The standing of all backend servers, from this host's requests and from what other hosts report.
+///
+/// Thread safety: one thread.
+class Scoreboard
+{
+public:
+    /// Returns the state of a server, made when it is first asked for. Precondition: none.
+    ServerState &state(const BackendServerId &server);
+
+    /// Notes that a request was sent. Precondition: none.
+    void onSent(const BackendServerId &server, MonotonicTime now);
+
+    /// Notes that a request no longer occupies the server. Precondition: onSent() was called for it.
+    void onFinished(const BackendServerId &server);
+
+    /// Takes evidence of this host and keeps it for the next report. Precondition: \p now does not go back.
+    void observe(const BackendServerId &server, Evidence evidence, MonotonicTime now);
+
+    /// Notes a failed attempt to connect, which only concerns this host. Precondition: none.
+    void onConnectFailed(const BackendServerId &server, MonotonicTime now);
+
+    /// Notes a connection that was opened. Precondition: none.
+    void onConnected(const BackendServerId &server);
+
+    /// Takes the reports of another host. Precondition: \p now does not go back.
+    void onRemote(const HostId &host,
+                  const std::vector<EvidenceReport> &evidence,
+                  const std::vector<OutstandingReport> &outstanding,
+                  MonotonicTime now);
+
+    /// Returns the evidence since the last call. Precondition: none.
+    std::vector<EvidenceReport> takeEvidence();
+
+    /// Returns whether evidence waits that other hosts should have at once. Precondition: none.
+    bool hasUrgentEvidence() const
+    {
+        return this->isUrgent;
+    }
+
+    /// Returns the servers that have requests of this host, or had some at the last call. Precondition: none.
+    std::vector<OutstandingReport> takeOutstanding();
+
+    /// Forgets servers that are not in the table. Precondition: none.
+    void retain(const catalog::ServerTable &table);
+
+private:
+    std::unordered_map<BackendServerId, ServerState> servers;
+    std::vector<EvidenceReport> unreported;
+    std::unordered_map<BackendServerId, std::uint32_t> reportedOutstanding;
+    bool isUrgent = false;
+};
+
+} // namespace rhubarbtiller::balance
--- /dev/null
+++ b/packages/balance/include/rhubarbtiller/balance/weightedsplit.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <rhubarbtiller/catalog/catalog.h>
+
+namespace rhubarbtiller::balance {
+
+/// Divides the requests of each route among its services in proportion to their weights.
+///
+/// Smooth weighted round robin: after any number of requests each service is within one request of its share.
+/// Thread safety: one thread.
+class WeightedSplit
+{
+public:
+    /// Returns the service of the next request. Precondition: the route has at least one share.
+    const catalog::ServiceName &next(const catalog::Route &route);
+
+private:
+    struct Part
+    {
+        catalog::ServiceName service;
+        double weight = 0;
+        double credit = 0;
+    };
+
+    std::unordered_map<RouteName, std::vector<Part>> routes;
+};
+
+} // namespace rhubarbtiller::balance
--- /dev/null
+++ b/packages/balance/lib/failureestimator.cpp
@@ -0,0 +1,82 @@
+#include <rhubarbtiller/balance/failureestimator.h>
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+
+namespace rhubarbtiller::balance {
+
+/// Mean rates of change between the two states, per second: partial failures last some seconds and come about twice a minute.
+static constexpr double SoundToFailingRate = 1.0 / 30;
+static constexpr double FailingToSoundRate = 1.0 / 4;
+
+/// Share of the requests that fail in each state, from the failure modes of the backend servers.
+static constexpr double FailureShareWhenFailing = 0.7;
+static constexpr double FailureShareWhenSound = 0.015;
+
+/// Bounds that let the filter turn around after a few observations.
+static constexpr double MinFailing = 0.002;
+static constexpr double MaxFailing = 0.98;
+
+/// How much more likely the evidence is from a failing server than from a sound one.
+static double likelihoodRatio(Evidence evidence)
+{
+    switch (evidence) {
+    case Evidence::Success:
+        return (1 - FailureShareWhenFailing) / (1 - FailureShareWhenSound);
+    case Evidence::ServerError:
+        return 30;
+    case Evidence::BrokenAnswer:
+        return 120;
+    case Evidence::Overdue:
+        return 4;
+    case Evidence::Shed:
+        return 1.6;
+    }
+    assert(false && "evidence outside its enumeration");
+    return 1;
+}
+
+std::string_view evidenceWord(Evidence evidence)
+{
+    switch (evidence) {
+    case Evidence::Success:
+        return "success";
+    case Evidence::ServerError:
+        return "server_error";
+    case Evidence::BrokenAnswer:
+        return "broken_answer";
+    case Evidence::Overdue:
+        return "overdue";
+    case Evidence::Shed:
+        return "shed";
+    }
+    return "unknown";
+}
+
+double FailureEstimator::failingProbability(MonotonicTime now) const
+{
+    if (this->updatedAt == MonotonicTime()) {
+        return this->failing;
+    }
+    const double seconds = std::max(0.0, std::chrono::duration<double>(now - this->updatedAt).count());
+    constexpr double TotalRate = SoundToFailingRate + FailingToSoundRate;
+    constexpr double Stationary = SoundToFailingRate / TotalRate;
+    return Stationary + (this->failing - Stationary) * std::exp(-TotalRate * seconds);
+}
+
+double FailureEstimator::failureProbability(MonotonicTime now) const
+{
+    const double probability = this->failingProbability(now);
+    return probability * FailureShareWhenFailing + (1 - probability) * FailureShareWhenSound;
+}
+
+void FailureEstimator::observe(Evidence evidence, MonotonicTime now)
+{
+    const double prior = this->failingProbability(now);
+    const double odds = prior / (1 - prior) * likelihoodRatio(evidence);
+    this->failing = std::clamp(odds / (1 + odds), MinFailing, MaxFailing);
+    this->updatedAt = std::max(this->updatedAt, now);
+}
+
+} // namespace rhubarbtiller::balance
--- /dev/null
+++ b/packages/balance/lib/retrybudget.cpp
@@ -0,0 +1,50 @@
+#include <rhubarbtiller/balance/retrybudget.h>
+
+#include <cassert>
+
+namespace rhubarbtiller::balance {
+
+/// The part of the budget that is used; the rest is for requests whose counts move between windows.
+static constexpr double UsedPart = 0.9;
+
+RetryBudget::RetryBudget(const RetryBudgetBounds &bounds, unsigned entryHosts)
+    : ratio(bounds.ratio * UsedPart), ownSlack(bounds.slack * UsedPart / entryHosts), sliceLength(bounds.window / SliceCount)
+{
+    assert(entryHosts > 0 && "a fleet has at least one entry host");
+}
+
+RetryBudget::Slice &RetryBudget::currentSlice(Slices &slices, MonotonicTime now) const
+{
+    const std::int64_t number = now.time_since_epoch() / this->sliceLength;
+    auto &slice = slices[static_cast<std::size_t>(number) % SliceCount];
+    if (slice.number != number) {
+        slice = {number, 0, 0};
+    }
+    return slice;
+}
+
+void RetryBudget::onRequest(const catalog::ServiceName &service, MonotonicTime now)
+{
+    ++this->currentSlice(this->services[service], now).requests;
+}
+
+bool RetryBudget::tryRepeat(const catalog::ServiceName &service, MonotonicTime now)
+{
+    auto &slices = this->services[service];
+    auto &current = this->currentSlice(slices, now);
+    double requests = 0;
+    double repeats = 0;
+    for (const auto &slice : slices) {
+        if (slice.number > current.number - static_cast<std::int64_t>(SliceCount)) {
+            requests += slice.requests;
+            repeats += slice.repeats;
+        }
+    }
+    if (repeats + 1 > this->ratio * requests + this->ownSlack) {
+        return false;
+    }
+    ++current.repeats;
+    return true;
+}
+
+} // namespace rhubarbtiller::balance
--- /dev/null
+++ b/packages/balance/lib/scoreboard.cpp
@@ -0,0 +1,132 @@
+#include <rhubarbtiller/balance/scoreboard.h>
+
+#include <cassert>
+
+namespace rhubarbtiller::balance {
+
+/// A host repeats its counts several times in this time; older ones no longer hold.
+static constexpr Duration OutstandingValidity = std::chrono::milliseconds(1200);
+
+/// The pause after a failed connection; it doubles with each further failure.
+static constexpr Duration FirstConnectBackoff = std::chrono::milliseconds(400);
+static constexpr unsigned MaxBackoffDoublings = 2;
+
+/// Evidence beyond this waits for no report; a report is one datagram.
+static constexpr std::size_t MaxUnreported = 64;
+
+std::uint32_t ServerState::remoteOutstanding(MonotonicTime now) const
+{
+    std::uint32_t sum = 0;
+    for (const auto &[host, remote] : this->remotes) {
+        sum += now < remote.validUntil ? remote.requests : 0;
+    }
+    return sum;
+}
+
+void ServerState::setRemoteOutstanding(const HostId &host, std::uint32_t requests, MonotonicTime now)
+{
+    if (requests == 0) {
+        this->remotes.erase(host);
+        return;
+    }
+    this->remotes[host] = {requests, now + OutstandingValidity};
+}
+
+ServerState &Scoreboard::state(const BackendServerId &server)
+{
+    return this->servers[server];
+}
+
+void Scoreboard::onSent(const BackendServerId &server, MonotonicTime now)
+{
+    auto &state = this->servers[server];
+    ++state.ownOutstanding;
+    state.lastUsedAt = now;
+}
+
+void Scoreboard::onFinished(const BackendServerId &server)
+{
+    auto &state = this->servers[server];
+    // A server that left the table and came back has a new state.
+    if (state.ownOutstanding > 0) {
+        --state.ownOutstanding;
+    }
+}
+
+void Scoreboard::observe(const BackendServerId &server, Evidence evidence, MonotonicTime now)
+{
+    this->servers[server].estimator.observe(evidence, now);
+    if (this->unreported.size() < MaxUnreported) {
+        this->unreported.push_back({server, evidence});
+    }
+    this->isUrgent = this->isUrgent || evidence == Evidence::ServerError || evidence == Evidence::BrokenAnswer;
+}
+
+void Scoreboard::onConnectFailed(const BackendServerId &server, MonotonicTime now)
+{
+    auto &state = this->servers[server];
+    const auto backoff = FirstConnectBackoff * (1U << std::min(state.connectFailures, MaxBackoffDoublings));
+    state.connectBackoffUntil = now + backoff;
+    ++state.connectFailures;
+}
+
+void Scoreboard::onConnected(const BackendServerId &server)
+{
+    auto &state = this->servers[server];
+    state.connectFailures = 0;
+    state.connectBackoffUntil = {};
+}
+
+void Scoreboard::onRemote(const HostId &host,
+                          const std::vector<EvidenceReport> &evidence,
+                          const std::vector<OutstandingReport> &outstanding,
+                          MonotonicTime now)
+{
+    for (const auto &report : evidence) {
+        if (const auto found = this->servers.find(report.server); found != this->servers.end()) {
+            found->second.estimator.observe(report.evidence, now);
+        }
+    }
+    for (const auto &report : outstanding) {
+        if (const auto found = this->servers.find(report.server); found != this->servers.end()) {
+            found->second.setRemoteOutstanding(host, report.requests, now);
+        }
+    }
+}
+
+std::vector<EvidenceReport> Scoreboard::takeEvidence()
+{
+    this->isUrgent = false;
+    return std::exchange(this->unreported, {});
+}
+
+std::vector<OutstandingReport> Scoreboard::takeOutstanding()
+{
+    std::vector<OutstandingReport> reports;
+    std::unordered_map<BackendServerId, std::uint32_t> current;
+    for (const auto &[id, state] : this->servers) {
+        if (state.ownOutstanding > 0) {
+            reports.push_back({id, state.ownOutstanding});
+            current.emplace(id, state.ownOutstanding);
+        } else if (this->reportedOutstanding.contains(id)) {
+            reports.push_back({id, 0});
+        }
+    }
+    this->reportedOutstanding = std::move(current);
+    return reports;
+}
+
+void Scoreboard::retain(const catalog::ServerTable &table)
+{
+    std::unordered_map<BackendServerId, ServerState> kept;
+    for (const auto &entry : table.entries()) {
+        if (const auto found = this->servers.find(entry.id); found != this->servers.end()) {
+            kept.emplace(entry.id, std::move(found->second));
+        } else {
+            kept.try_emplace(entry.id);
+        }
+    }
+    this->servers = std::move(kept);
+}
+
+} // namespace rhubarbtiller::balance
--- /dev/null
+++ b/packages/balance/lib/weightedsplit.cpp
@@ -0,0 +1,36 @@
+#include <rhubarbtiller/balance/weightedsplit.h>
+
+#include <algorithm>
+#include <cassert>
+
+namespace rhubarbtiller::balance {
+
+const catalog::ServiceName &WeightedSplit::next(const catalog::Route &route)
+{
+    assert(!route.shares.empty() && "a route leads to at least one service");
+    if (route.shares.size() == 1) {
+        return route.shares.front().service;
+    }
+    auto &parts = this->routes[route.name];
+    const auto isSame = [](const Part &part, const catalog::ServiceShare &share) {
+        return part.service == share.service && part.weight == share.weight;
+    };
+    if (!std::equal(parts.begin(), parts.end(), route.shares.begin(), route.shares.end(), isSame)) {
+        parts.clear();
+        for (const auto &share : route.shares) {
+            parts.push_back({share.service, share.weight, 0});
+        }
+    }
+    double total = 0;
+    for (auto &part : parts) {
+        part.credit += part.weight;
+        total += part.weight;
+    }
+    auto &chosen = *std::max_element(parts.begin(), parts.end(), [](const Part &left, const Part &right) {
+        return left.credit < right.credit;
+    });
+    chosen.credit -= total;
+    return chosen.service;
+}
+
+} // namespace rhubarbtiller::balance
--- /dev/null
+++ b/packages/gateway/fleet.thrift
@@ -0,0 +1,63 @@
+// Messages between hosts. Regenerate with: thrift --gen cpp:no_skeleton -out generated fleet.thrift
+namespace cpp rhubarbtiller.gateway.wire
+
+// What a host says of itself in every datagram.
+struct HostBeat {
+    1: string host
+    2: string failureDomain
+    3: string callerAddress
+    4: string peerAddress
+    5: string controlAddress
+    6: i64 incarnation
+    7: bool isLeaving
+    8: i32 beatIntervalMs
+    // Newest store versions that this host holds of each table.
+    9: i64 configurationVersion
+    10: i64 serversVersion
+    // Time since the store last answered this host; below 0 if it does not read the store itself.
+    11: i32 storeContactAgeMs
+}
+
+struct ServerEvidence {
+    1: string server
+    2: i8 evidence
+}
+
+struct ServerLoad {
+    1: string server
+    2: i32 outstanding
+}
+
+struct Admissions {
+    1: string organisation
+    2: i64 admitted
+}
+
+struct Datagram {
+    1: HostBeat sender
+    // Hosts that the receiver may not know.
+    2: optional list<HostBeat> mentioned
+    3: optional list<ServerEvidence> evidence
+    4: optional list<ServerLoad> loads
+    5: optional list<Admissions> admissions
+    // Asks the receiver to name the hosts that it knows.
+    6: optional bool wantsMentions
+}
+
+// One row of a table of the store.
+struct ReplicaRow {
+    1: string key
+    2: binary value
+    3: i64 version
+    // Age of the row at the sender, so that times relative to its arrival stay right.
+    4: i64 ageMs
+}
+
+// The answer of a host to a peer that lags behind.
+struct ReplicaAnswer {
+    1: i64 version
+    // Rows that are newer than what the peer holds.
+    2: list<ReplicaRow> rows
+    // All keys of the table; others were removed.
+    3: list<string> keys
+}
--- /dev/null
+++ b/packages/gateway/include/rhubarbtiller/gateway/gatewayprocess.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <rhubarbtiller/gateway/dialect.h>
+#include <rhubarbtiller/gateway/settings.h>
+#include <rhubarbtiller/gateway/statesource.h>
+#include <rhubarbtiller/http/httpclient.h>
+
+#include <asio/io_context.hpp>
+
+#include <functional>
+#include <memory>
+#include <system_error>
+
+namespace rhubarbtiller::gateway {
+
+/// What depends on the platform: how it speaks and where its state is read.
+struct PlatformParts
+{
+    std::unique_ptr<Dialect> dialect;
+    std::unique_ptr<StateSource> source;
+    std::unique_ptr<StateDecoder> decoder;
+};
+
+/// Makes the parts of a platform whose store is reached through \p client.
+using PlatformFactory = std::function<PlatformParts(const GatewaySettings &, http::HttpClient &client, const Clock &)>;
+
+/// All parts of a host of a gateway fleet, put together.
+///
+/// Requests, peers and decisions run on the serving context; the store, its decoding and the control port on the control
+/// context. Thread safety: the threads of the two contexts; each context is run by one thread.
+class GatewayProcess
+{
+public:
+    /// Precondition: both contexts outlive this object; \p whenStopped is called after a planned stop.
+    GatewayProcess(asio::io_context &servingContext,
+                   asio::io_context &controlContext,
+                   GatewaySettings gatewaySettings,
+                   const PlatformFactory &platform,
+                   std::function<void()> whenStopped);
+    ~GatewayProcess();
+    GatewayProcess(const GatewayProcess &) = delete;
+    GatewayProcess &operator=(const GatewayProcess &) = delete;
+
+    /// Opens the ports and begins to work. Precondition: called once, before the contexts run.
+    std::error_code start();
+
+    /// Begins a planned stop. Precondition: started. Thread safety: the thread of the serving context.
+    void beginStop();
+
+private:
+    struct Parts;
+
+    std::unique_ptr<Parts> parts;
+};
+
+} // namespace rhubarbtiller::gateway
--- /dev/null
+++ b/packages/gateway/include/rhubarbtiller/gateway/settings.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <rhubarbtiller/balance/retrybudget.h>
+#include <rhubarbtiller/base/strongid.h>
+#include <rhubarbtiller/config/problem.h>
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace rhubarbtiller::gateway {
+
+/// What a host of a gateway fleet needs to run.
+struct GatewaySettings
+{
+    HostId id;
+    FailureDomainId failureDomain;
+    std::vector<FailureDomainId> failureDomains;
+    Endpoint callerAddress;
+    Endpoint readinessAddress;
+    Endpoint directoryAddress;
+    Endpoint controlAddress;
+    Endpoint peerAddress;
+    Endpoint storeAddress;
+    /// Control addresses of some other hosts; may be stale.
+    std::vector<Endpoint> seeds;
+    unsigned entryHostsPerDomain = 2;
+    /// How long callers keep an answer with addresses.
+    std::chrono::milliseconds addressLifetime{1500};
+    /// Time from the signal to stop until the process is killed.
+    std::chrono::milliseconds stopGrace{6000};
+    balance::RetryBudgetBounds retryBudget;
+    std::string logLevel = "info";
+};
+
+/// Reads and checks the settings; faults go to \p problems. Thread safety: any thread.
+std::optional<GatewaySettings> parseGatewaySettings(std::string_view text, config::Problems &problems);
+
+} // namespace rhubarbtiller::gateway
--- /dev/null
+++ b/packages/gateway/include/rhubarbtiller/gateway/statesource.h
@@ -0,0 +1,113 @@
+#pragma once
+
+#include <rhubarbtiller/base/result.h>
+#include <rhubarbtiller/catalog/servertable.h>
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace rhubarbtiller::gateway {
+
+enum class SourceError {
+    /// No answer, or an answer that the service is not available.
+    Unavailable = 1,
+    /// The changes since the version asked for are no longer kept.
+    HistoryGone,
+    /// The service turned the call away.
+    Rejected,
+    /// The answer could not be read.
+    Malformed,
+};
+
+/// Returns the error category of this layer. Precondition: none. Thread safety: any thread.
+const std::error_category &sourceCategory();
+
+std::error_code make_error_code(SourceError error);
+
+/// The tables of the platform's store that hosts read.
+enum class SourceTable {
+    /// The operator's configuration and orders.
+    Configuration,
+    /// The entries of the backend servers.
+    Servers,
+    /// Addresses of hosts that have started.
+    Hosts,
+};
+
+struct SourceRow
+{
+    std::string key;
+    std::string value;
+    /// The store's version of the change that wrote the row.
+    std::uint64_t version = 0;
+    bool isRemoved = false;
+};
+
+struct SourceBatch
+{
+    std::vector<SourceRow> rows;
+    /// The newest version of the store at the answer.
+    std::uint64_t version = 0;
+};
+
+/// Reads and writes the tables of the platform's store.
+///
+/// Each handler is called exactly once, on a thread of the source. Thread safety: any thread.
+class StateSource
+{
+public:
+    using BatchHandler = std::function<void(Result<SourceBatch>)>;
+    using WriteHandler = std::function<void(Status)>;
+
+    StateSource() = default;
+    StateSource(const StateSource &) = delete;
+    StateSource &operator=(const StateSource &) = delete;
+    virtual ~StateSource() = default;
+
+    /// Reads a whole table. Precondition: none.
+    virtual void read(SourceTable table, BatchHandler handler) = 0;
+
+    /// Waits for changes after a version, at most until the wait ends. Precondition: none.
+    virtual void follow(SourceTable table, std::uint64_t after, std::chrono::milliseconds wait, BatchHandler handler) = 0;
+
+    /// Writes one row whatever it held. Precondition: the system may write to the table.
+    virtual void write(SourceTable table, std::string key, std::string value, WriteHandler handler) = 0;
+};
+
+/// A row as a host holds it.
+struct HeldRow
+{
+    std::string value;
+    std::uint64_t version = 0;
+    MonotonicTime receivedAt{};
+};
+
+using HeldRows = std::map<std::string, HeldRow>;
+
+/// Reads what stands in the rows. Thread safety: any thread.
+class StateDecoder
+{
+public:
+    StateDecoder() = default;
+    StateDecoder(const StateDecoder &) = delete;
+    StateDecoder &operator=(const StateDecoder &) = delete;
+    virtual ~StateDecoder() = default;
+
+    /// Returns the catalog of the configuration rows; nullptr if there is none that can be read. Precondition: none.
+    virtual std::shared_ptr<const catalog::Catalog> catalog(const HeldRows &rows) const = 0;
+
+    /// Returns the failure domains that are to get no new work. Precondition: none.
+    virtual std::set<FailureDomainId> evacuatedDomains(const HeldRows &rows) const = 0;
+
+    /// Returns the entry of one backend server, or nothing if the row names none. Precondition: none.
+    virtual std::optional<catalog::ServerEntry> server(const std::string &key, const HeldRow &row) const = 0;
+};
+
+} // namespace rhubarbtiller::gateway
+
+template<>
+struct std::is_error_code_enum<rhubarbtiller::gateway::SourceError> : std::true_type
+{
+};
--- /dev/null
+++ b/packages/gateway/lib/answerparser.cpp
@@ -0,0 +1,89 @@
+#include "answerparser.h"
+
+namespace rhubarbtiller::gateway {
+
+/// Larger answers are taken for a fault of the server.
+static constexpr std::size_t MaxAnswerBody = 8 * 1024 * 1024;
+
+/// What http_parser expects from a headers callback when no body follows.
+static constexpr int SkipBody = 1;
+
+AnswerParser::AnswerParser(bool isHead) : isHeadAnswer(isHead)
+{
+    http_parser_init(&this->parser, HTTP_RESPONSE);
+    this->parser.data = this;
+}
+
+const http_parser_settings &AnswerParser::callbacks()
+{
+    static const http_parser_settings settings = [] {
+        http_parser_settings made;
+        http_parser_settings_init(&made);
+        made.on_header_field = [](http_parser *parser, const char *text, std::size_t size) {
+            auto &answer = self(parser);
+            if (answer.isInValue || answer.response.headers.empty()) {
+                answer.response.headers.emplace_back();
+                answer.isInValue = false;
+            }
+            answer.response.headers.back().name.append(text, size);
+            return 0;
+        };
+        made.on_header_value = [](http_parser *parser, const char *text, std::size_t size) {
+            auto &answer = self(parser);
+            answer.isInValue = true;
+            if (!answer.response.headers.empty()) {
+                answer.response.headers.back().value.append(text, size);
+            }
+            return 0;
+        };
+        made.on_headers_complete = [](http_parser *parser) {
+            auto &answer = self(parser);
+            answer.response.status = static_cast<int>(parser->status_code);
+            return answer.isHeadAnswer ? SkipBody : 0;
+        };
+        made.on_body = [](http_parser *parser, const char *text, std::size_t size) {
+            auto &answer = self(parser);
+            answer.response.body.append(text, size);
+            return answer.response.body.size() > MaxAnswerBody ? -1 : 0;
+        };
+        made.on_message_complete = [](http_parser *parser) {
+            auto &answer = self(parser);
+            constexpr int FirstFinalStatus = 200;
+            if (answer.response.status < FirstFinalStatus) {
+                answer.response = {};
+                answer.isInValue = false;
+                return 0;
+            }
+            answer.complete = true;
+            answer.isKeptAlive = http_should_keep_alive(parser) != 0;
+            http_parser_pause(parser, 1);
+            return 0;
+        };
+        return made;
+    }();
+    return settings;
+}
+
+std::size_t AnswerParser::accept(std::string_view bytes)
+{
+    const auto used = http_parser_execute(&this->parser, &callbacks(), bytes.data(), bytes.size());
+    const auto fault = HTTP_PARSER_ERRNO(&this->parser);
+    if (fault == HPE_PAUSED) {
+        return used;
+    }
+    this->malformed = fault != HPE_OK || this->parser.upgrade != 0;
+    return used;
+}
+
+bool AnswerParser::finish()
+{
+    if (this->complete || this->malformed) {
+        return this->complete;
+    }
+    http_parser_execute(&this->parser, &callbacks(), nullptr, 0);
+    const auto fault = HTTP_PARSER_ERRNO(&this->parser);
+    this->malformed = fault != HPE_OK && fault != HPE_PAUSED;
+    return this->complete;
+}
+
+} // namespace rhubarbtiller::gateway
--- /dev/null
+++ b/packages/gateway/lib/answerparser.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <rhubarbtiller/http/httpmessage.h>
+
+#include <http_parser.h>
+
+#include <string_view>
+
+namespace rhubarbtiller::gateway {
+
+/// Reads one answer of a backend server from the bytes of its connection.
+///
+/// Interim answers (1xx) are passed over. Thread safety: one thread.
+class AnswerParser
+{
+public:
+    /// \p isHead says that the request was a HEAD, whose answer has no body.
+    explicit AnswerParser(bool isHead);
+    AnswerParser(const AnswerParser &) = delete;
+    AnswerParser &operator=(const AnswerParser &) = delete;
+
+    /// Takes bytes up to the end of the answer; returns how many it used. Precondition: neither complete nor malformed.
+    std::size_t accept(std::string_view bytes);
+
+    /// Notes the end of the connection; returns whether that completes the answer. Precondition: not malformed.
+    bool finish();
+
+    bool isComplete() const
+    {
+        return this->complete;
+    }
+
+    bool isMalformed() const
+    {
+        return this->malformed;
+    }
+
+    /// Returns whether the connection can carry another request. Precondition: complete.
+    bool keepsAlive() const
+    {
+        return this->isKeptAlive;
+    }
+
+    /// Moves the answer out. Precondition: complete.
+    http::HttpResponse take()
+    {
+        return std::move(this->response);
+    }
+
+private:
+    static AnswerParser &self(http_parser *parser)
+    {
+        return *static_cast<AnswerParser *>(parser->data);
+    }
+
+    static const http_parser_settings &callbacks();
+
+    http_parser parser{};
+    http::HttpResponse response;
+    bool isHeadAnswer;
+    bool isInValue = false;
+    bool complete = false;
+    bool malformed = false;
+    bool isKeptAlive = false;
+};
+
+} // namespace rhubarbtiller::gateway
--- /dev/null
+++ b/packages/gateway/lib/backendclient.cpp
@@ -0,0 +1,468 @@
+#include <rhubarbtiller/gateway/backendclient.h>
+
+#include "answerparser.h"
+
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/write.hpp>
+
+#include <array>
+#include <charconv>
+#include <unordered_map>
+
+namespace rhubarbtiller::gateway {
+
+/// Servers are a few milliseconds away; a longer handshake means a lost packet or a partition.
+static constexpr std::chrono::milliseconds ConnectTimeout{250};
+
+/// How long an idle connection is used again if the server announced nothing.
+static constexpr Duration DefaultIdleTime = std::chrono::seconds(4);
+
+/// A connection is given up this long before the server closes it, so that no request crosses the close.
+static constexpr Duration IdleMargin = std::chrono::milliseconds(1500);
+
+/// Idle connections that are kept for one server.
+static constexpr std::size_t MaxIdlePerServer = 8;
+
+static std::optional<asio::ip::tcp::endpoint> parseAddress(const Endpoint &endpoint)
+{
+    const auto &text = endpoint.text();
+    const auto colon = text.rfind(':');
+    if (colon == std::string::npos) {
+        return std::nullopt;
+    }
+    std::error_code error;
+    const auto address = asio::ip::make_address(text.substr(0, colon), error);
+    std::uint16_t port = 0;
+    const auto [end, result] = std::from_chars(text.data() + colon + 1, text.data() + text.size(), port);
+    if (error || result != std::errc() || end != text.data() + text.size()) {
+        return std::nullopt;
+    }
+    return asio::ip::tcp::endpoint(address, port);
+}
+
+static std::string serialize(const http::HttpRequest &message)
+{
+    std::string text = message.method + " " + message.target + " HTTP/1.1\r\n";
+    for (const auto &header : message.headers) {
+        text += header.name + ": " + header.value + "\r\n";
+    }
+    const bool hasBody = !message.body.empty() || (message.method != "GET" && message.method != "HEAD");
+    if (hasBody) {
+        text += "Content-Length: " + std::to_string(message.body.size()) + "\r\n";
+    }
+    return text + "\r\n" + message.body;
+}
+
+namespace {
+
+class Client;
+
+/// One connection to one server; serves one request at a time.
+class Connection : public std::enable_shared_from_this<Connection>
+{
+public:
+    Connection(asio::io_context &context, std::weak_ptr<Client> owner, BackendServerId backend, Endpoint target)
+        : server(std::move(backend)), address(std::move(target)), client(std::move(owner)), socket(context), connectTimer(context)
+    {
+    }
+
+    void start(const RequestId &request, std::string text, bool isHeadRequest, BackendClient::Handler receiver);
+    void watchIdle();
+    void close();
+    void cancel();
+
+    bool wasSent() const
+    {
+        return this->isSent;
+    }
+
+    const BackendServerId server;
+    const Endpoint address;
+    MonotonicTime usableUntil{};
+
+private:
+    void connect();
+    void write();
+    void read();
+    void onBytes(std::size_t size);
+    void onEnd(std::error_code error);
+    void finish(AttemptEnd end, std::string detail);
+    bool takeMessage();
+
+    std::weak_ptr<Client> client;
+    asio::ip::tcp::socket socket;
+    asio::steady_timer connectTimer;
+    RequestId id;
+    std::string outgoing;
+    bool isHead = false;
+    BackendClient::Handler handler;
+    std::unique_ptr<AnswerParser> parser;
+    http::HttpResponse answer;
+    std::array<char, 16384> incoming{};
+    std::uint32_t served = 0;
+    bool isConnected = false;
+    bool isSent = false;
+    bool isWritten = false;
+    bool isReading = false;
+    bool isClosed = false;
+};
+
+class Attempt : public BackendAttempt
+{
+public:
+    explicit Attempt(std::shared_ptr<Connection> used) : connection(std::move(used))
+    {
+    }
+
+    void cancel() override
+    {
+        this->connection->cancel();
+    }
+
+    bool wasSent() const override
+    {
+        return this->connection->wasSent();
+    }
+
+private:
+    std::shared_ptr<Connection> connection;
+};
+
+class Client : public BackendClient, public std::enable_shared_from_this<Client>
+{
+public:
+    Client(asio::io_context &ioContext, const Clock &timeSource, const Dialect &speech)
+        : context(ioContext), clock(timeSource), dialect(speech)
+    {
+    }
+
+    ~Client() override
+    {
+        for (auto &[server, connections] : this->idle) {
+            for (const auto &connection : connections) {
+                connection->close();
+            }
+        }
+    }
+
+    std::shared_ptr<BackendAttempt> send(BackendCall call, Handler handler) override
+    {
+        auto connection = this->takeIdle(call);
+        if (!connection) {
+            connection = std::make_shared<Connection>(this->context, this->weak_from_this(), call.server, call.address);
+            ++this->opened;
+        }
+        connection->start(call.id, serialize(call.message), call.message.method == "HEAD", std::move(handler));
+        return std::make_shared<Attempt>(connection);
+    }
+
+    void retain(const std::function<bool(const BackendServerId &)> &isKept) override
+    {
+        for (auto &[server, connections] : this->idle) {
+            if (!isKept(server)) {
+                for (const auto &connection : std::exchange(connections, {})) {
+                    connection->close();
+                }
+            }
+        }
+        std::erase_if(this->idle, [](const auto &entry) {
+            return entry.second.empty();
+        });
+    }
+
+    std::uint64_t connectionsOpened() const override
+    {
+        return this->opened;
+    }
+
+    void keep(const std::shared_ptr<Connection> &connection, const http::HttpResponse &response)
+    {
+        auto &connections = this->idle[connection->server];
+        if (connections.size() >= MaxIdlePerServer) {
+            connection->close();
+            return;
+        }
+        const auto announced = this->dialect.announcedIdleTime(response);
+        connection->usableUntil = this->clock.now() + (announced ? std::max(Duration(0), *announced - IdleMargin) : DefaultIdleTime);
+        connections.push_back(connection);
+        connection->watchIdle();
+    }
+
+    void forget(const std::shared_ptr<Connection> &connection)
+    {
+        if (const auto found = this->idle.find(connection->server); found != this->idle.end()) {
+            std::erase(found->second, connection);
+        }
+    }
+
+    const Dialect &speech() const
+    {
+        return this->dialect;
+    }
+
+private:
+    /// Returns the connection that was used last, since it is the least likely to have been closed.
+    std::shared_ptr<Connection> takeIdle(const BackendCall &call)
+    {
+        const auto found = this->idle.find(call.server);
+        if (found == this->idle.end()) {
+            return nullptr;
+        }
+        auto &connections = found->second;
+        while (!connections.empty()) {
+            auto connection = std::move(connections.back());
+            connections.pop_back();
+            if (connection->address == call.address && this->clock.now() < connection->usableUntil) {
+                return connection;
+            }
+            connection->close();
+        }
+        return nullptr;
+    }
+
+    asio::io_context &context;
+    const Clock &clock;
+    const Dialect &dialect;
+    std::unordered_map<BackendServerId, std::vector<std::shared_ptr<Connection>>> idle;
+    std::uint64_t opened = 0;
+};
+
+} // namespace
+
+void Connection::start(const RequestId &request, std::string text, bool isHeadRequest, BackendClient::Handler receiver)
+{
+    this->id = request;
+    this->outgoing = std::move(text);
+    this->isHead = isHeadRequest;
+    this->handler = std::move(receiver);
+    this->isSent = false;
+    this->isWritten = false;
+    this->parser = std::make_unique<AnswerParser>(this->isHead);
+    if (this->isConnected) {
+        this->write();
+        return;
+    }
+    this->connect();
+}
+
+void Connection::connect()
+{
+    const auto target = parseAddress(this->address);
+    if (!target) {
+        this->finish(AttemptEnd::NotConnected, "address");
+        return;
+    }
+    this->connectTimer.expires_after(ConnectTimeout);
+    this->connectTimer.async_wait([self = this->shared_from_this()](std::error_code error) {
+        if (!error && !self->isConnected) {
+            self->finish(AttemptEnd::NotConnected, "connect timeout");
+        }
+    });
+    this->socket.async_connect(*target, [self = this->shared_from_this()](std::error_code error) {
+        if (self->isClosed) {
+            return;
+        }
+        self->connectTimer.cancel();
+        if (error) {
+            self->finish(AttemptEnd::NotConnected, error.message());
+            return;
+        }
+        self->isConnected = true;
+        std::error_code ignored;
+        self->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+        self->write();
+    });
+}
+
+void Connection::write()
+{
+    this->isSent = true;
+    asio::async_write(this->socket, asio::buffer(this->outgoing), [self = this->shared_from_this()](std::error_code error, std::size_t) {
+        // An error shows to the reader too, possibly after an answer that the server sent early.
+        self->isWritten = !error;
+    });
+    if (!this->isReading) {
+        this->read();
+    }
+}
+
+void Connection::watchIdle()
+{
+    if (!this->isReading) {
+        this->read();
+    }
+}
+
+void Connection::read()
+{
+    this->isReading = true;
+    this->socket.async_read_some(asio::buffer(this->incoming), [self = this->shared_from_this()](std::error_code error, std::size_t size) {
+        self->isReading = false;
+        if (self->isClosed) {
+            return;
+        }
+        if (error) {
+            self->onEnd(error);
+            return;
+        }
+        self->onBytes(size);
+    });
+}
+
+void Connection::onEnd(std::error_code error)
+{
+    if (!this->handler) {
+        this->close();
+        return;
+    }
+    // An answer without a length ends with its connection, but only if that was closed in order.
+    if (error == asio::error::eof && this->parser->finish()) {
+        if (this->takeMessage()) {
+            return;
+        }
+    }
+    this->finish(AttemptEnd::Broken, error.message());
+}
+
+void Connection::onBytes(std::size_t size)
+{
+    if (!this->handler) {
+        // Nothing was asked: the bytes belong to no request.
+        this->close();
+        return;
+    }
+    std::string_view bytes(this->incoming.data(), size);
+    while (!bytes.empty()) {
+        const auto used = this->parser->accept(bytes);
+        if (this->parser->isMalformed()) {
+            this->finish(AttemptEnd::Broken, "malformed answer");
+            return;
+        }
+        bytes.remove_prefix(used);
+        if (!this->parser->isComplete()) {
+            continue;
+        }
+        const bool hasMore = !bytes.empty();
+        if (this->takeMessage()) {
+            if (hasMore) {
+                this->close();
+            }
+            return;
+        }
+        this->parser = std::make_unique<AnswerParser>(this->isHead);
+    }
+    this->read();
+}
+
+/// Takes the answer that the parser holds; returns false if it belongs to another request.
+bool Connection::takeMessage()
+{
+    auto response = this->parser->take();
+    const auto owner = this->client.lock();
+    if (!owner) {
+        this->finish(AttemptEnd::Broken, "shutting down");
+        return true;
+    }
+    switch (owner->speech().ownerOf(response, this->id)) {
+    case AnswerOwner::OtherRequest:
+        return false;
+    case AnswerOwner::Unmarked:
+        // On a connection that served others before, it may be a late answer to one of them.
+        if (this->served > 0) {
+            this->finish(AttemptEnd::Broken, "unmarked answer");
+            return true;
+        }
+        break;
+    case AnswerOwner::ThisRequest:
+        break;
+    }
+    // After an early answer the rest of the request would be read as the next one.
+    const bool canKeep = this->isWritten && this->parser->keepsAlive();
+    AttemptOutcome outcome;
+    outcome.end = AttemptEnd::Answered;
+    outcome.wasReused = this->served > 0;
+    ++this->served;
+    const auto receiver = std::exchange(this->handler, nullptr);
+    if (canKeep) {
+        owner->keep(this->shared_from_this(), response);
+    } else {
+        this->close();
+    }
+    outcome.response = std::move(response);
+    receiver(std::move(outcome));
+    return true;
+}
+
+void Connection::finish(AttemptEnd end, std::string detail)
+{
+    const auto receiver = std::exchange(this->handler, nullptr);
+    this->close();
+    if (receiver) {
+        AttemptOutcome outcome;
+        outcome.end = end;
+        outcome.wasReused = this->served > 0;
+        outcome.detail = std::move(detail);
+        receiver(std::move(outcome));
+    }
+}
+
+void Connection::cancel()
+{
+    if (this->handler) {
+        this->handler = nullptr;
+        this->close();
+    }
+}
+
+void Connection::close()
+{
+    if (std::exchange(this->isClosed, true)) {
+        return;
+    }
+    this->connectTimer.cancel();
+    std::error_code ignored;
+    this->socket.close(ignored);
+    if (const auto owner = this->client.lock()) {
+        owner->forget(this->shared_from_this());
+    }
+}
+
+namespace {
+
+/// Keeps the client alive for its connections by shared ownership.
+class ClientHandle : public BackendClient
+{
+public:
+    ClientHandle(asio::io_context &context, const Clock &clock, const Dialect &dialect)
+        : client(std::make_shared<Client>(context, clock, dialect))
+    {
+    }
+
+    std::shared_ptr<BackendAttempt> send(BackendCall call, Handler handler) override
+    {
+        return this->client->send(std::move(call), std::move(handler));
+    }
+
+    void retain(const std::function<bool(const BackendServerId &)> &isKept) override
+    {
+        this->client->retain(isKept);
+    }
+
+    std::uint64_t connectionsOpened() const override
+    {
+        return this->client->connectionsOpened();
+    }
+
+private:
+    std::shared_ptr<Client> client;
+};
+
+} // namespace
+
+std::unique_ptr<BackendClient> makeBackendClient(asio::io_context &context, const Clock &clock, const Dialect &dialect)
+{
+    return std::make_unique<ClientHandle>(context, clock, dialect);
+}
+
+} // namespace rhubarbtiller::gateway
--- /dev/null
+++ b/packages/gateway/lib/dialect.cpp
@@ -0,0 +1,34 @@
+#include <rhubarbtiller/gateway/dialect.h>
+
+namespace rhubarbtiller::gateway {
+
+std::string_view refusalWord(RefusalReason reason)
+{
+    switch (reason) {
+    case RefusalReason::Malformed:
+        return "malformed";
+    case RefusalReason::NoConfiguration:
+        return "no_configuration";
+    case RefusalReason::NoRoute:
+        return "no_route";
+    case RefusalReason::UnknownKey:
+        return "unknown_key";
+    case RefusalReason::OverQuota:
+        return "over_quota";
+    case RefusalReason::NoServer:
+        return "no_server";
+    case RefusalReason::Saturated:
+        return "saturated";
+    case RefusalReason::NotAccepted:
+        return "not_accepted";
+    case RefusalReason::RetryBudgetSpent:
+        return "retry_budget_spent";
+    case RefusalReason::OutcomeUnknown:
+        return "outcome_unknown";
+    case RefusalReason::DeadlinePassed:
+        return "deadline_passed";
+    }
+    return "unknown";
+}
+
+} // namespace rhubarbtiller::gateway
--- /dev/null
+++ b/packages/gateway/lib/gatewayprocess.cpp
@@ -0,0 +1,438 @@
+#include <rhubarbtiller/gateway/gatewayprocess.h>
+
+#include "peerlink.h"
+#include "requestflow.h"
+#include "statesync.h"
+#include "thriftcodec.h"
+
+#include <rhubarbtiller/http/curlhttpclient.h>
+#include <rhubarbtiller/http/restinioserver.h>
+#include <rhubarbtiller/telemetry/log.h>
+
+#include <asio/post.hpp>
+
+#include <charconv>
+
+namespace rhubarbtiller::gateway {
+
+using std::chrono::milliseconds;
+using telemetry::LogLevel;
+using telemetry::logEvent;
+
+/// Callers keep connections idle for a while by their own rules; the server lets them decide.
+static constexpr milliseconds CallerIdleTime{120'000};
+
+/// Requests that a caller may send before the first is answered.
+static constexpr std::uint32_t MaxPipelined = 16;
+
+/// The process ends this long before it would be killed.
+static constexpr milliseconds StopMargin{700};
+
+/// Callers that learned of this host before it began to stop have asked again after this many lifetimes of an answer.
+static constexpr int StopLifetimes = 2;
+
+/// Without a request for this long, nobody uses this host any more.
+static constexpr milliseconds QuietBeforeStop{1500};
+
+static constexpr milliseconds StopCheckInterval{100};
+
+/// Attempts to write the address of this host to the store.
+static constexpr milliseconds RegisterRetryPause{1000};
+
+namespace {
+
+/// Starts a flow for each request of a caller.
+class CallerHandler : public http::RequestHandler
+{
+public:
+    explicit CallerHandler(FlowContext &flowContext) : flow(flowContext)
+    {
+    }
+
+    void onRequest(http::HttpRequest request, std::shared_ptr<http::Responder> responder) override
+    {
+        std::make_shared<RequestFlow>(this->flow, std::move(responder))->start(std::move(request));
+    }
+
+private:
+    FlowContext &flow;
+};
+
+/// Calls a function for each request.
+class FunctionHandler : public http::RequestHandler
+{
+public:
+    using Function = std::function<http::HttpResponse(const http::HttpRequest &)>;
+
+    explicit FunctionHandler(Function answering) : function(std::move(answering))
+    {
+    }
+
+    void onRequest(http::HttpRequest request, std::shared_ptr<http::Responder> responder) override
+    {
+        responder->respond(this->function(request));
+    }
+
+private:
+    Function function;
+};
+
+} // namespace
+
+static http::HttpResponse statusOnly(int status)
+{
+    return {status, {}, {}};
+}
+
+struct GatewayProcess::Parts
+{
+    Parts(asio::io_context &servingContext,
+          asio::io_context &controlContext,
+          GatewaySettings gatewaySettings,
+          const PlatformFactory &factory,
+          std::function<void()> whenStopped);
+
+    std::error_code start();
+    void registerHost();
+    void readHosts();
+    void onPublished();
+    void beginStop();
+    void checkStop();
+    http::HttpResponse answerAddresses(const http::HttpRequest &request);
+    http::HttpResponse answerReadiness(const http::HttpRequest &request);
+    http::HttpResponse answerControl(const http::HttpRequest &request);
+    std::vector<Endpoint> seedPeers() const;
+
+    asio::io_context &serving;
+    asio::io_context &control;
+    GatewaySettings settings;
+    std::function<void()> stopped;
+    SystemClock clock;
+    SystemRandom random;
+    telemetry::Metrics metrics;
+    std::unique_ptr<http::HttpClient> storeClient;
+    PlatformParts platform;
+    RcuCell<catalog::FleetState> state;
+    balance::HostDirectory directory;
+    balance::Scoreboard board;
+    balance::OrganisationQuota quota;
+    balance::RetryBudget retries;
+    balance::WeightedSplit split;
+    std::unique_ptr<BackendClient> backend;
+    FlowContext flow;
+    StateSync sync;
+    PeerLink link;
+    CallerHandler callerHandler;
+    FunctionHandler directoryHandler;
+    FunctionHandler readinessHandler;
+    FunctionHandler controlHandler;
+    std::unique_ptr<http::HttpServer> callerServer;
+    std::unique_ptr<http::HttpServer> directoryServer;
+    std::unique_ptr<http::HttpServer> readinessServer;
+    std::unique_ptr<http::HttpServer> controlServer;
+    asio::steady_timer stopTimer;
+    asio::steady_timer registerTimer;
+    MonotonicTime stopBeganAt{};
+    std::atomic<bool> isStopping{false};
+    std::atomic<bool> hasState{false};
+};
+
+static balance::HostRecord ownRecord(const GatewaySettings &settings, const Clock &clock)
+{
+    balance::HostRecord record;
+    record.id = settings.id;
+    record.failureDomain = settings.failureDomain;
+    record.callerAddress = settings.callerAddress;
+    record.peerAddress = settings.peerAddress;
+    record.controlAddress = settings.controlAddress;
+    const auto sinceEpoch = clock.wallNow().time_since_epoch();
+    record.incarnation = Incarnation(static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(sinceEpoch).count()));
+    return record;
+}
+
+GatewayProcess::Parts::Parts(asio::io_context &servingContext,
+                             asio::io_context &controlContext,
+                             GatewaySettings gatewaySettings,
+                             const PlatformFactory &factory,
+                             std::function<void()> whenStopped)
+    : serving(servingContext)
+    , control(controlContext)
+    , settings(std::move(gatewaySettings))
+    , stopped(std::move(whenStopped))
+    , storeClient(http::makeCurlHttpClient(controlContext, clock))
+    , platform(factory(settings, *storeClient, clock))
+    , directory(ownRecord(settings, clock), settings.entryHostsPerDomain)
+    , retries(settings.retryBudget, settings.entryHostsPerDomain * static_cast<unsigned>(settings.failureDomains.size()))
+    , backend(makeBackendClient(servingContext, clock, *platform.dialect))
+    , flow{servingContext,
+           clock,
+           random,
+           *platform.dialect,
+           *backend,
+           state,
+           board,
+           quota,
+           retries,
+           split,
+           directory,
+           metrics,
+           [this] {
+               this->link.onEvidence();
+           },
+           0,
+           {}}
+    , sync({controlContext,
+            clock,
+            random,
+            *platform.source,
+            *platform.decoder,
+            *storeClient,
+            state,
+            settings.failureDomain,
+            [this] {
+                asio::post(this->serving, [this] {
+                    this->onPublished();
+                });
+            }})
+    , link({servingContext,
+            clock,
+            random,
+            directory,
+            board,
+            quota,
+            sync,
+            settings.failureDomains,
+            seedPeers(),
+            [this](const PeerStanding &standing) {
+                asio::post(this->control, [this, standing] {
+                    this->sync.onPeer(standing);
+                });
+            }})
+    , callerHandler(flow)
+    , directoryHandler([this](const http::HttpRequest &request) {
+        return this->answerAddresses(request);
+    })
+    , readinessHandler([this](const http::HttpRequest &request) {
+        return this->answerReadiness(request);
+    })
+    , controlHandler([this](const http::HttpRequest &request) {
+        return this->answerControl(request);
+    })
+    , stopTimer(servingContext)
+    , registerTimer(controlContext)
+{
+    http::ServerLimits limits;
+    limits.maxHeader = ByteCount(64 * 1024);
+    limits.maxBody = ByteCount(64 * 1024 * 1024);
+    limits.maxPipelinedRequests = MaxPipelined;
+    limits.idleTimeLimit = CallerIdleTime;
+    this->callerServer = http::makeRestinioServer(this->serving, this->settings.callerAddress, limits, this->callerHandler);
+    this->directoryServer = http::makeRestinioServer(this->serving, this->settings.directoryAddress, {}, this->directoryHandler);
+    this->readinessServer = http::makeRestinioServer(this->serving, this->settings.readinessAddress, {}, this->readinessHandler);
+    this->controlServer = http::makeRestinioServer(this->control, this->settings.controlAddress, {}, this->controlHandler);
+}
+
+/// Returns the peer addresses of the seeds: the peer port is the same on all hosts.
+std::vector<Endpoint> GatewayProcess::Parts::seedPeers() const
+{
+    const auto &own = this->settings.peerAddress.text();
+    const auto port = own.substr(own.rfind(':'));
+    std::vector<Endpoint> peers;
+    for (const auto &seed : this->settings.seeds) {
+        const Endpoint peer(seed.text().substr(0, seed.text().rfind(':')) + port);
+        if (peer != this->settings.peerAddress) {
+            peers.push_back(peer);
+        }
+    }
+    return peers;
+}
+
+std::error_code GatewayProcess::Parts::start()
+{
+    for (auto *const server : {&this->callerServer, &this->directoryServer, &this->readinessServer, &this->controlServer}) {
+        if (const auto error = (*server)->start()) {
+            return error;
+        }
+    }
+    if (const auto error = this->link.start()) {
+        return error;
+    }
+    asio::post(this->control, [this] {
+        this->sync.start();
+        this->registerHost();
+    });
+    logEvent(LogLevel::Info,
+             "started",
+             {{"host", this->settings.id.text()},
+              {"failure_domain", this->settings.failureDomain.text()},
+              {"incarnation", this->directory.own().incarnation.count()}});
+    return {};
+}
+
+/// Writes the addresses of this host for hosts that start later, and reads those of the others.
+void GatewayProcess::Parts::registerHost()
+{
+    const auto beat = beatOf(ownRecord(this->settings, this->clock));
+    this->platform.source->write(SourceTable::Hosts, this->settings.callerAddress.text(), encodeThrift(beat), [this](Status error) {
+        if (error) {
+            logEvent(LogLevel::Warning, "registration_failed", {{"error", error.message()}});
+            this->registerTimer.expires_after(RegisterRetryPause);
+            this->registerTimer.async_wait([this](std::error_code cancelled) {
+                if (!cancelled) {
+                    this->registerHost();
+                }
+            });
+            return;
+        }
+        this->readHosts();
+    });
+}
+
+void GatewayProcess::Parts::readHosts()
+{
+    this->platform.source->read(SourceTable::Hosts, [this](const Result<SourceBatch> &batch) {
+        if (!batch) {
+            // The seeds and the hosts that start later make this host known all the same.
+            logEvent(LogLevel::Warning, "hosts_not_read", {{"error", batch.error().message()}});
+            return;
+        }
+        std::vector<balance::HostRecord> records;
+        for (const auto &row : batch->rows) {
+            if (const auto beat = decodeThrift<wire::HostBeat>(row.value)) {
+                records.push_back(recordOf(*beat));
+            } else {
+                logEvent(LogLevel::Warning, "host_row_malformed", {{"key", row.key}});
+            }
+        }
+        asio::post(this->serving, [this, records = std::move(records)] {
+            for (const auto &record : records) {
+                this->directory.onMentioned(record);
+            }
+            this->link.announce();
+        });
+    });
+}
+
+void GatewayProcess::Parts::onPublished()
+{
+    const auto current = this->state.read();
+    const auto now = this->clock.now();
+    this->board.retain(*current->servers);
+    if (current->catalog) {
+        this->quota.configure(*current->catalog, now);
+        this->metrics.setAppliedVersion(current->catalog->version());
+        this->hasState = true;
+    }
+    std::set<BackendServerId> known;
+    for (const auto &entry : current->servers->entries()) {
+        known.insert(entry.id);
+    }
+    this->backend->retain([&known](const BackendServerId &server) {
+        return known.contains(server);
+    });
+    if (this->directory.isEntryHost(now)) {
+        this->link.announce();
+    }
+}
+
+http::HttpResponse GatewayProcess::Parts::answerAddresses(const http::HttpRequest &request)
+{
+    const auto domain = this->platform.dialect->addressQuestion(request);
+    if (!domain) {
+        return statusOnly(404);
+    }
+    const auto now = this->clock.now();
+    std::vector<Endpoint> addresses;
+    for (const auto *const host : this->directory.entryHostsFor(*domain, now)) {
+        addresses.push_back(host->callerAddress);
+    }
+    if (addresses.empty()) {
+        logEvent(LogLevel::Warning, "no_entry_host", {{"failure_domain", domain->text()}});
+        return statusOnly(503);
+    }
+    return this->platform.dialect->addressAnswer(addresses, this->settings.addressLifetime);
+}
+
+http::HttpResponse GatewayProcess::Parts::answerReadiness(const http::HttpRequest &request)
+{
+    if (!this->platform.dialect->isReadinessQuestion(request)) {
+        return statusOnly(404);
+    }
+    return statusOnly(this->hasState.load() && !this->isStopping.load() ? 200 : 503);
+}
+
+http::HttpResponse GatewayProcess::Parts::answerControl(const http::HttpRequest &request)
+{
+    static constexpr std::string_view ReplicaPath = "/replica/";
+    const std::string_view target = request.target;
+    if (target == "/metrics") {
+        return {200, {{"Content-Type", "text/plain; version=0.0.4"}}, this->metrics.exposition()};
+    }
+    const auto question = target.find("?after=");
+    if (!target.starts_with(ReplicaPath) || question == std::string_view::npos) {
+        return statusOnly(404);
+    }
+    const auto table = target.substr(ReplicaPath.size(), question - ReplicaPath.size());
+    const auto version = target.substr(question + std::string_view("?after=").size());
+    std::uint64_t after = 0;
+    const bool isNumber = std::from_chars(version.data(), version.data() + version.size(), after).ec == std::errc();
+    if (!isNumber || (table != "configuration" && table != "servers")) {
+        return statusOnly(400);
+    }
+    const auto source = table == "servers" ? SourceTable::Servers : SourceTable::Configuration;
+    return {200, {{"Content-Type", "application/octet-stream"}}, this->sync.encodeAnswer(source, after)};
+}
+
+void GatewayProcess::Parts::beginStop()
+{
+    if (this->isStopping.exchange(true)) {
+        return;
+    }
+    this->stopBeganAt = this->clock.now();
+    logEvent(LogLevel::Info, "stopping", {{"requests", this->flow.inProgress}});
+    this->directory.beginLeaving();
+    this->callerServer->closeAfterResponses();
+    this->link.announce();
+    this->checkStop();
+}
+
+void GatewayProcess::Parts::checkStop()
+{
+    const auto now = this->clock.now();
+    const bool isIdle = this->flow.inProgress == 0 && now - this->flow.lastRequestAt >= QuietBeforeStop
+        && now - this->stopBeganAt >= this->settings.addressLifetime * StopLifetimes;
+    if (isIdle || now - this->stopBeganAt >= this->settings.stopGrace - StopMargin) {
+        logEvent(LogLevel::Info, "stopped", {{"requests", this->flow.inProgress}});
+        this->stopped();
+        return;
+    }
+    this->stopTimer.expires_after(StopCheckInterval);
+    this->stopTimer.async_wait([this](std::error_code error) {
+        if (!error) {
+            this->checkStop();
+        }
+    });
+}
+
+GatewayProcess::GatewayProcess(asio::io_context &servingContext,
+                               asio::io_context &controlContext,
+                               GatewaySettings gatewaySettings,
+                               const PlatformFactory &platform,
+                               std::function<void()> whenStopped)
+    : parts(std::make_unique<Parts>(servingContext, controlContext, std::move(gatewaySettings), platform, std::move(whenStopped)))
+{
+}
+
+GatewayProcess::~GatewayProcess() = default;
+
+std::error_code GatewayProcess::start()
+{
+    return this->parts->start();
+}
+
+void GatewayProcess::beginStop()
+{
+    this->parts->beginStop();
+}
+
+} // namespace rhubarbtiller::gateway
--- /dev/null
+++ b/packages/gateway/lib/peerlink.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "statesync.h"
+
+#include <rhubarbtiller/balance/hostdirectory.h>
+#include <rhubarbtiller/balance/organisationquota.h>
+#include <rhubarbtiller/balance/scoreboard.h>
+
+#include <asio/ip/udp.hpp>
+
+#include <array>
+
+namespace rhubarbtiller::gateway {
+
+/// Exchanges beats, evidence, loads and admissions with the other hosts, by datagrams.
+///
+/// Thread safety: the thread of the serving context.
+class PeerLink
+{
+public:
+    struct Parts
+    {
+        asio::io_context &context;
+        const Clock &clock;
+        RandomSource &random;
+        balance::HostDirectory &directory;
+        balance::Scoreboard &board;
+        balance::OrganisationQuota &quota;
+        StateSync &sync;
+        std::vector<FailureDomainId> failureDomains;
+        /// Addresses of hosts that may live, for a host that knows no other.
+        std::vector<Endpoint> seeds;
+        /// Called for each standing that a peer reports.
+        std::function<void(const PeerStanding &)> onStanding;
+    };
+
+    /// Precondition: what \p linkParts refers to outlives this object.
+    explicit PeerLink(Parts linkParts);
+
+    /// Binds the address and begins to send. Precondition: called once.
+    std::error_code start();
+
+    /// Tells all hosts at once how this host stands, such as after a change. Precondition: started.
+    void announce();
+
+    /// Sends urgent evidence without delay. Precondition: started.
+    void onEvidence();
+
+    /// Returns the beat that names this host. Precondition: none.
+    wire::HostBeat ownBeat() const;
+
+private:
+    void receive();
+    void onDatagram(std::string_view bytes, const asio::ip::udp::endpoint &from);
+    void tick();
+    void beat(MonotonicTime now);
+    void report(MonotonicTime now);
+    void search(MonotonicTime now);
+    void updateStanding(MonotonicTime now);
+    void send(const wire::Datagram &datagram, const Endpoint &target);
+    void mentionTo(const Endpoint &target, MonotonicTime now);
+
+    Parts parts;
+    asio::ip::udp::socket socket;
+    asio::steady_timer timer;
+    asio::ip::udp::endpoint sender;
+    std::array<char, 65536> incoming{};
+    MonotonicTime nextBeatAt{};
+    MonotonicTime nextReportAt{};
+    MonotonicTime nextSearchAt{};
+    MonotonicTime lastUrgentAt{};
+    bool isEntryHost = false;
+    bool isSendFailing = false;
+};
+
+/// Converts a beat to the record of its host. Thread safety: any thread.
+balance::HostRecord recordOf(const wire::HostBeat &beat);
+
+/// Converts the record of a host to a beat without standing. Thread safety: any thread.
+wire::HostBeat beatOf(const balance::HostRecord &record);
+
+} // namespace rhubarbtiller::gateway
--- /dev/null
+++ b/packages/gateway/lib/requestflow.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include <rhubarbtiller/balance/hostdirectory.h>
+#include <rhubarbtiller/balance/organisationquota.h>
+#include <rhubarbtiller/balance/placement.h>
+#include <rhubarbtiller/balance/retrybudget.h>
+#include <rhubarbtiller/balance/weightedsplit.h>
+#include <rhubarbtiller/base/rcucell.h>
+#include <rhubarbtiller/gateway/backendclient.h>
+#include <rhubarbtiller/http/httpserver.h>
+#include <rhubarbtiller/telemetry/metrics.h>
+
+#include <asio/steady_timer.hpp>
+
+namespace rhubarbtiller::gateway {
+
+/// The objects that the flows of all requests share; used on the thread of the serving context.
+struct FlowContext
+{
+    asio::io_context &context;
+    const Clock &clock;
+    RandomSource &random;
+    const Dialect &dialect;
+    BackendClient &backend;
+    RcuCell<catalog::FleetState> &state;
+    balance::Scoreboard &board;
+    balance::OrganisationQuota &quota;
+    balance::RetryBudget &retries;
+    balance::WeightedSplit &split;
+    balance::HostDirectory &directory;
+    telemetry::Metrics &metrics;
+    /// Called after evidence was noted.
+    std::function<void()> whenObserved;
+    std::uint64_t inProgress = 0;
+    MonotonicTime lastRequestAt{};
+};
+
+/// Carries one request of a caller from its arrival to its answer.
+///
+/// Thread safety: the thread of the serving context.
+class RequestFlow : public std::enable_shared_from_this<RequestFlow>
+{
+public:
+    /// Precondition: \p flowContext outlives the flow.
+    RequestFlow(FlowContext &flowContext, std::shared_ptr<http::Responder> callerResponder);
+    ~RequestFlow();
+    RequestFlow(const RequestFlow &) = delete;
+    RequestFlow &operator=(const RequestFlow &) = delete;
+
+    /// Begins; the caller gets exactly one answer. Precondition: called once.
+    void start(http::HttpRequest message);
+
+private:
+    struct Try
+    {
+        BackendServerId server;
+        MonotonicTime startedAt{};
+        std::shared_ptr<BackendAttempt> attempt;
+        double failureProbability = 0;
+        std::uint32_t outstanding = 0;
+        unsigned overdueNoted = 0;
+        bool isOpen = false;
+    };
+
+    std::optional<Refusal> admit();
+    std::optional<Refusal> sendNext(bool isRepeat);
+    void onOutcome(std::size_t number, AttemptOutcome outcome);
+    void onAnswer(std::size_t number, http::HttpResponse response);
+    void onFailedTry(RefusalReason reason);
+    void onCallerGone();
+    void armTimer();
+    void onTimer();
+    bool hasOpenTry() const;
+    bool mayHaveRun() const;
+    bool canRepeat() const;
+    bool isIdempotent() const;
+    void closeTry(Try &closed);
+    void observe(const Try &observed, balance::Evidence evidence);
+    void respond(http::HttpResponse response, std::string_view outcome);
+    void refuse(const Refusal &refusal);
+    void cancelTries();
+    void log(std::string_view outcome, int status);
+
+    FlowContext &flow;
+    std::shared_ptr<http::Responder> responder;
+    std::shared_ptr<const catalog::FleetState> state;
+    CallerRequest request;
+    const catalog::Route *route = nullptr;
+    OrganisationId organisation;
+    catalog::ServiceName service;
+    MonotonicTime arrivedAt{};
+    MonotonicTime deadline{};
+    asio::steady_timer timer;
+    std::vector<Try> tries;
+    std::vector<BackendServerId> usedServers;
+    /// Attempts that reached a server, whether it accepted them or not.
+    unsigned arrivals = 0;
+    /// Servers that may have run the request.
+    unsigned runs = 0;
+    unsigned connectFailures = 0;
+    bool hasHedged = false;
+    bool isAdmitted = false;
+    bool isFinished = false;
+    /// A failure that a server reported, delivered if no other try does better.
+    std::optional<http::HttpResponse> reportedFailure;
+};
+
+} // namespace rhubarbtiller::gateway
--- /dev/null
+++ b/packages/gateway/lib/settings.cpp
@@ -0,0 +1,68 @@
+#include <rhubarbtiller/gateway/settings.h>
+
+#include <rhubarbtiller/config/jsonreader.h>
+
+#include <algorithm>
+
+using rhubarbtiller::config::JsonReader;
+using rhubarbtiller::config::Problems;
+using std::chrono::milliseconds;
+
+namespace rhubarbtiller::gateway {
+
+static balance::RetryBudgetBounds readRetryBudget(const nlohmann::json &value, const std::string &path, Problems &problems)
+{
+    JsonReader reader(value, path, problems);
+    balance::RetryBudgetBounds bounds;
+    bounds.ratio = reader.number("ratio", bounds.ratio, 0, 10);
+    bounds.slack = reader.number("slack", bounds.slack, 0, 1'000'000);
+    constexpr double MaxWindowSeconds = 3600;
+    const double seconds = reader.number("windowSeconds", std::chrono::duration<double>(bounds.window).count(), 0.1, MaxWindowSeconds);
+    bounds.window = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+    reader.finish();
+    return bounds;
+}
+
+std::optional<GatewaySettings> parseGatewaySettings(std::string_view text, Problems &problems)
+{
+    const auto document = config::parseDocument(text, "settings", problems);
+    if (!document) {
+        return std::nullopt;
+    }
+    JsonReader reader(*document, "settings", problems);
+    GatewaySettings settings;
+    settings.id = HostId(reader.requiredText("id"));
+    settings.failureDomain = FailureDomainId(reader.requiredText("failureDomain"));
+    for (auto &domain : reader.texts("failureDomains", {})) {
+        settings.failureDomains.emplace_back(std::move(domain));
+    }
+    if (std::find(settings.failureDomains.begin(), settings.failureDomains.end(), settings.failureDomain) == settings.failureDomains.end()) {
+        settings.failureDomains.push_back(settings.failureDomain);
+    }
+    settings.callerAddress = Endpoint(reader.endpoint("callerAddress", true));
+    settings.readinessAddress = Endpoint(reader.endpoint("readinessAddress", true));
+    settings.directoryAddress = Endpoint(reader.endpoint("directoryAddress", true));
+    settings.controlAddress = Endpoint(reader.endpoint("controlAddress", true));
+    settings.peerAddress = Endpoint(reader.endpoint("peerAddress", true));
+    settings.storeAddress = Endpoint(reader.endpoint("storeAddress"));
+    for (auto &seed : reader.texts("seeds", {})) {
+        settings.seeds.emplace_back(std::move(seed));
+    }
+    constexpr unsigned MaxEntryHosts = 64;
+    settings.entryHostsPerDomain
+        = static_cast<unsigned>(reader.integer("entryHostsPerDomain", settings.entryHostsPerDomain, 1, MaxEntryHosts));
+    settings.addressLifetime
+        = reader.milliseconds("addressLifetimeMs", settings.addressLifetime, milliseconds(100), milliseconds(60'000));
+    constexpr double MaxGraceSeconds = 600;
+    const double grace = reader.number("stopGraceSeconds", std::chrono::duration<double>(settings.stopGrace).count(), 0, MaxGraceSeconds);
+    settings.stopGrace = std::chrono::duration_cast<milliseconds>(std::chrono::duration<double>(grace));
+    settings.retryBudget = readRetryBudget(reader.object("retryBudget", false), reader.pathOf("retryBudget"), problems);
+    settings.logLevel = reader.choice("logLevel", settings.logLevel, {"debug", "info", "warning", "error"});
+    reader.finish();
+    if (!problems.empty()) {
+        return std::nullopt;
+    }
+    return settings;
+}
+
+} // namespace rhubarbtiller::gateway
--- /dev/null
+++ b/packages/gateway/lib/statesource.cpp
@@ -0,0 +1,44 @@
+#include <rhubarbtiller/gateway/statesource.h>
+
+namespace rhubarbtiller::gateway {
+
+namespace {
+
+class SourceCategory : public std::error_category
+{
+public:
+    const char *name() const noexcept override
+    {
+        return "state source";
+    }
+
+    std::string message(int condition) const override
+    {
+        switch (static_cast<SourceError>(condition)) {
+        case SourceError::Unavailable:
+            return "the store is unavailable";
+        case SourceError::HistoryGone:
+            return "the store no longer keeps the changes since this version";
+        case SourceError::Rejected:
+            return "the store rejected the call";
+        case SourceError::Malformed:
+            return "the answer of the store could not be read";
+        }
+        return "unknown error";
+    }
+};
+
+} // namespace
+
+const std::error_category &sourceCategory()
+{
+    static const SourceCategory category;
+    return category;
+}
+
+std::error_code make_error_code(SourceError error)
+{
+    return {static_cast<int>(error), sourceCategory()};
+}
+
+} // namespace rhubarbtiller::gateway
--- /dev/null
+++ b/packages/gateway/lib/statesync.cpp
@@ -0,0 +1,319 @@
+#include "statesync.h"
+
+#include "thriftcodec.h"
+
+#include <rhubarbtiller/telemetry/log.h>
+
+#include <asio/post.hpp>
+
+namespace rhubarbtiller::gateway {
+
+using telemetry::LogLevel;
+using telemetry::logEvent;
+
+/// How long one call waits for changes. A connection that fell silent is noticed soon after, within the 2 s in which a
+/// change has to be in force.
+static constexpr std::chrono::milliseconds FollowWait{1200};
+
+/// Checks whether this host has to read the store itself.
+static constexpr std::chrono::milliseconds TickInterval{100};
+
+/// A peer whose contact with the store is older does not count as following it.
+static constexpr Duration FreshContact = std::chrono::milliseconds(2000);
+
+/// Pause after a failed call; the random part keeps the hosts of a fleet apart.
+static constexpr std::chrono::milliseconds FirstRetryPause{100};
+static constexpr std::chrono::milliseconds MaxRetryPause{800};
+
+/// Servers whose entries lapsed while the store was away write them again within 2 s of its return.
+static constexpr Duration ReturnTime = std::chrono::milliseconds(2200);
+
+/// Failures in a row after which the store counts as away.
+static constexpr unsigned AwayFailures = 2;
+
+/// A peer answers at once; a longer wait means that it is gone.
+static constexpr Duration PullTimeout = std::chrono::milliseconds(500);
+
+/// Bounds the memory of rows that were reported as unreadable.
+static constexpr std::size_t MaxReportedRows = 1000;
+
+static std::string_view tableWord(SourceTable table)
+{
+    switch (table) {
+    case SourceTable::Configuration:
+        return "configuration";
+    case SourceTable::Servers:
+        return "servers";
+    case SourceTable::Hosts:
+        return "hosts";
+    }
+    return "unknown";
+}
+
+StateSync::StateSync(Parts syncParts) : parts(std::move(syncParts)), timer(parts.context)
+{
+    this->configuration.table = SourceTable::Configuration;
+    this->servers.table = SourceTable::Servers;
+}
+
+void StateSync::start()
+{
+    this->startedAt = this->parts.clock.now();
+    this->tick();
+}
+
+void StateSync::setEntryHost(bool isEntry)
+{
+    if (this->isEntryHost.exchange(isEntry) != isEntry && isEntry) {
+        asio::post(this->parts.context, [this] {
+            this->pump(this->configuration);
+            this->pump(this->servers);
+        });
+    }
+}
+
+void StateSync::tick()
+{
+    this->pump(this->configuration);
+    this->pump(this->servers);
+    const auto now = this->parts.clock.now();
+    const bool hasExpired = std::any_of(this->lapsedServers.begin(), this->lapsedServers.end(), [now](const auto &entry) {
+        return now >= entry.second.second;
+    });
+    if (hasExpired && !this->isStoreAway) {
+        this->publish();
+    }
+    this->timer.expires_after(TickInterval);
+    this->timer.async_wait([this](std::error_code error) {
+        if (!error) {
+            this->tick();
+        }
+    });
+}
+
+bool StateSync::readsStore(MonotonicTime now) const
+{
+    if (this->isEntryHost.load()) {
+        return true;
+    }
+    return std::none_of(this->peersInDomain.begin(), this->peersInDomain.end(), [now](const auto &entry) {
+        const auto &[standing, heardAt] = entry.second;
+        return standing.storeContactAge && *standing.storeContactAge + (now - heardAt) < FreshContact;
+    });
+}
+
+void StateSync::pump(TableState &state)
+{
+    const auto now = this->parts.clock.now();
+    const bool reads = this->readsStore(now);
+    this->isReadingStore = reads;
+    const bool hasNothing = state.replica.version() == 0;
+    if (state.isCalling || now < state.nextCallAt || (!reads && !hasNothing)) {
+        return;
+    }
+    state.isCalling = true;
+    const bool isWhole = state.needsWhole && hasNothing;
+    const auto handler = [this, &state, isWhole](const Result<SourceBatch> &batch) {
+        this->onBatch(state, isWhole || state.needsWhole, batch);
+    };
+    if (isWhole || state.needsWhole) {
+        this->parts.source.read(state.table, handler);
+        return;
+    }
+    this->parts.source.follow(state.table, state.replica.position(), FollowWait, handler);
+}
+
+void StateSync::onBatch(TableState &state, bool isWhole, const Result<SourceBatch> &batch)
+{
+    const auto now = this->parts.clock.now();
+    state.isCalling = false;
+    if (!batch) {
+        this->onStoreFailure(state, batch.error(), now);
+        return;
+    }
+    this->onStoreAnswer(now);
+    state.failures = 0;
+    const bool hasChanged = isWhole ? state.replica.replace(*batch, now) : state.replica.apply(*batch, now);
+    state.needsWhole = false;
+    if (hasChanged) {
+        this->onTableChanged(state, "store");
+    }
+    this->pump(state);
+}
+
+void StateSync::onStoreAnswer(MonotonicTime now)
+{
+    this->lastStoreAnswer = now.time_since_epoch().count();
+    if (std::exchange(this->isStoreAway, false)) {
+        this->storeBackAt = now;
+        logEvent(LogLevel::Info,
+                 "store_regained",
+                 {{"away_s", std::chrono::duration<double>(now - this->storeAwaySince).count()},
+                  {"configuration_version", this->configuration.replica.version()},
+                  {"servers_version", this->servers.replica.version()}});
+    }
+}
+
+void StateSync::onStoreFailure(TableState &state, const std::error_code &error, MonotonicTime now)
+{
+    if (error == SourceError::HistoryGone) {
+        logEvent(LogLevel::Info, "store_history_gone", {{"table", tableWord(state.table)}, {"position", state.replica.position()}});
+        state.needsWhole = true;
+        this->pump(state);
+        return;
+    }
+    ++state.failures;
+    if (state.failures >= AwayFailures && !std::exchange(this->isStoreAway, true)) {
+        this->storeAwaySince = now;
+        logEvent(LogLevel::Warning,
+                 "store_lost",
+                 {{"table", tableWord(state.table)},
+                  {"error", error.message()},
+                  {"configuration_version", this->configuration.replica.version()},
+                  {"servers_version", this->servers.replica.version()}});
+    }
+    const auto pause = std::min(MaxRetryPause, FirstRetryPause * (1 << std::min(state.failures, 4U)));
+    state.nextCallAt = now + pause / 2 + std::chrono::milliseconds(this->parts.random.below(static_cast<std::uint64_t>(pause.count())));
+}
+
+void StateSync::onPeer(const PeerStanding &peer)
+{
+    const auto now = this->parts.clock.now();
+    if (peer.failureDomain == this->parts.ownDomain) {
+        this->peersInDomain[peer.host] = {peer, now};
+    }
+    if (peer.configurationVersion > std::max(this->configuration.replica.version(), this->configuration.replica.position())) {
+        this->pull(this->configuration, peer);
+    }
+    if (peer.serversVersion > std::max(this->servers.replica.version(), this->servers.replica.position())) {
+        this->pull(this->servers, peer);
+    }
+}
+
+void StateSync::pull(TableState &state, const PeerStanding &peer)
+{
+    // An entry host in contact with the store has the change from there within a moment.
+    const auto contactAge = this->parts.clock.now().time_since_epoch().count() - this->lastStoreAnswer.load();
+    const bool isFollowing = this->isReadingStore.load() && Duration(contactAge) < FollowWait && !this->isStoreAway;
+    const bool isFar = peer.failureDomain != this->parts.ownDomain;
+    if (state.isPulling || (isFollowing && isFar)) {
+        return;
+    }
+    state.isPulling = true;
+    http::HttpCall call;
+    call.server = peer.controlAddress;
+    call.request.method = "GET";
+    call.request.target
+        = "/replica/" + std::string(tableWord(state.table)) + "?after=" + std::to_string(state.replica.version());
+    call.deadline = this->parts.clock.now() + PullTimeout;
+    call.maxAnswer = ByteCount(64 * 1024 * 1024);
+    this->parts.peers.send(std::move(call), [this, &state, host = peer.host](const http::HttpOutcome &outcome) {
+        asio::post(this->parts.context, [this, &state, host, response = outcome.response] {
+            state.isPulling = false;
+            if (!response || response->status != 200) {
+                logEvent(LogLevel::Warning,
+                         "peer_copy_failed",
+                         {{"host", host.text()},
+                          {"table", tableWord(state.table)},
+                          {"error", response ? std::to_string(response->status) : response.error().message()}});
+                return;
+            }
+            const auto answer = decodeThrift<wire::ReplicaAnswer>(response->body);
+            if (!answer) {
+                logEvent(LogLevel::Warning, "peer_copy_malformed", {{"host", host.text()}, {"table", tableWord(state.table)}});
+                return;
+            }
+            if (state.replica.adopt(*answer, this->parts.clock.now())) {
+                state.needsWhole = false;
+                this->onTableChanged(state, host.text());
+            }
+        });
+    });
+}
+
+void StateSync::keepLapsedServers(const HeldRows &removed, MonotonicTime now)
+{
+    const bool isAfterOutage = this->isStoreAway || (this->storeBackAt != MonotonicTime() && now < this->storeBackAt + ReturnTime);
+    for (const auto &[key, row] : removed) {
+        if (!isAfterOutage) {
+            continue;
+        }
+        const auto entry = this->parts.decoder.server(key, row);
+        if (entry && !entry->isDraining) {
+            this->lapsedServers[key] = {row, (this->isStoreAway ? now : this->storeBackAt) + ReturnTime};
+        }
+    }
+}
+
+void StateSync::onTableChanged(const TableState &state, std::string_view from)
+{
+    const auto now = this->parts.clock.now();
+    if (state.table == SourceTable::Configuration) {
+        if (auto next = this->parts.decoder.catalog(state.replica.rows())) {
+            if (!this->catalog || next->version() != this->catalog->version()) {
+                logEvent(LogLevel::Info,
+                         "configuration_applied",
+                         {{"version", next->version().count()}, {"store_version", state.replica.version()}, {"from", from}});
+            }
+            this->catalog = std::move(next);
+        }
+        this->configurationVersion = state.replica.version();
+    } else {
+        this->keepLapsedServers(state.replica.removedRows(), now);
+        this->serversVersion = state.replica.version();
+    }
+    this->publish();
+}
+
+std::shared_ptr<const catalog::ServerTable> StateSync::buildServers(MonotonicTime now)
+{
+    std::vector<catalog::ServerEntry> entries;
+    for (const auto &[key, row] : this->servers.replica.rows()) {
+        this->lapsedServers.erase(key);
+        if (auto entry = this->parts.decoder.server(key, row)) {
+            entries.push_back(std::move(*entry));
+        } else if (this->reportedRows.size() < MaxReportedRows && this->reportedRows.insert(key).second) {
+            logEvent(LogLevel::Warning, "server_entry_unreadable", {{"key", key}, {"version", row.version}});
+        }
+    }
+    std::erase_if(this->lapsedServers, [this, now](const auto &lapsed) {
+        return now >= lapsed.second.second && !this->isStoreAway;
+    });
+    for (const auto &[key, lapsed] : this->lapsedServers) {
+        if (auto entry = this->parts.decoder.server(key, lapsed.first)) {
+            entries.push_back(std::move(*entry));
+        }
+    }
+    return std::make_shared<const catalog::ServerTable>(std::move(entries));
+}
+
+void StateSync::publish()
+{
+    const auto now = this->parts.clock.now();
+    auto state = std::make_shared<catalog::FleetState>();
+    state->catalog = this->catalog;
+    state->servers = this->buildServers(now);
+    state->evacuatedDomains = this->parts.decoder.evacuatedDomains(this->configuration.replica.rows());
+    state->changedAt = now;
+    this->parts.published.publish(std::move(state));
+    this->parts.whenPublished();
+}
+
+OwnStanding StateSync::standing() const
+{
+    OwnStanding standing;
+    standing.configurationVersion = this->configurationVersion.load();
+    standing.serversVersion = this->serversVersion.load();
+    if (this->isReadingStore.load() && this->lastStoreAnswer.load() != 0) {
+        standing.storeContactAge = Duration(this->parts.clock.now().time_since_epoch().count() - this->lastStoreAnswer.load());
+    }
+    return standing;
+}
+
+std::string StateSync::encodeAnswer(SourceTable table, std::uint64_t after) const
+{
+    const auto &state = table == SourceTable::Configuration ? this->configuration : this->servers;
+    return encodeThrift(state.replica.answer(after, this->parts.clock.now()));
+}
+
+} // namespace rhubarbtiller::gateway
--- /dev/null
+++ b/packages/gateway/lib/statesync.h
@@ -0,0 +1,128 @@
+#pragma once
+
+#include "tablereplica.h"
+
+#include <rhubarbtiller/base/random.h>
+#include <rhubarbtiller/base/rcucell.h>
+#include <rhubarbtiller/http/httpclient.h>
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <atomic>
+#include <map>
+
+namespace rhubarbtiller::gateway {
+
+/// What a peer says about its copies of the store's tables.
+struct PeerStanding
+{
+    HostId host;
+    FailureDomainId failureDomain;
+    Endpoint controlAddress;
+    std::uint64_t configurationVersion = 0;
+    std::uint64_t serversVersion = 0;
+    /// Time since the store answered the peer; unset if it does not read the store itself.
+    std::optional<Duration> storeContactAge;
+};
+
+/// What this host says about its own copies.
+struct OwnStanding
+{
+    std::uint64_t configurationVersion = 0;
+    std::uint64_t serversVersion = 0;
+    std::optional<Duration> storeContactAge;
+};
+
+/// Keeps the host's copies of the configuration and of the servers current, and publishes what the request path reads.
+///
+/// Entry hosts follow the store. The other hosts of their failure domain take changes from them, and follow the store
+/// themselves only while no entry host of their domain is in contact with it.
+/// Thread safety: the thread of the control context, unless a method says otherwise.
+class StateSync
+{
+public:
+    struct Parts
+    {
+        asio::io_context &context;
+        const Clock &clock;
+        RandomSource &random;
+        StateSource &source;
+        const StateDecoder &decoder;
+        http::HttpClient &peers;
+        RcuCell<catalog::FleetState> &published;
+        FailureDomainId ownDomain;
+        /// Called after each publication.
+        std::function<void()> whenPublished;
+    };
+
+    /// Precondition: what \p syncParts refers to outlives this object.
+    explicit StateSync(Parts syncParts);
+
+    /// Begins to read. Precondition: called once.
+    void start();
+
+    /// Says whether callers are sent to this host. Thread safety: any thread.
+    void setEntryHost(bool isEntry);
+
+    /// Takes what a peer said. Precondition: none.
+    void onPeer(const PeerStanding &peer);
+
+    /// Returns what to say to peers. Thread safety: any thread.
+    OwnStanding standing() const;
+
+    /// Returns the rows that a peer lacks, encoded. Precondition: none.
+    std::string encodeAnswer(SourceTable table, std::uint64_t after) const;
+
+private:
+    struct TableState
+    {
+        SourceTable table = SourceTable::Configuration;
+        TableReplica replica;
+        bool isCalling = false;
+        bool isPulling = false;
+        bool needsWhole = true;
+        MonotonicTime nextCallAt{};
+        unsigned failures = 0;
+    };
+
+    struct FreshPeer
+    {
+        PeerStanding standing;
+        MonotonicTime heardAt{};
+    };
+
+    void tick();
+    void pump(TableState &state);
+    bool readsStore(MonotonicTime now) const;
+    void onBatch(TableState &state, bool isWhole, const Result<SourceBatch> &batch);
+    void onStoreAnswer(MonotonicTime now);
+    void onStoreFailure(TableState &state, const std::error_code &error, MonotonicTime now);
+    void pull(TableState &state, const PeerStanding &peer);
+    void onTableChanged(const TableState &state, std::string_view from);
+    void keepLapsedServers(const HeldRows &removed, MonotonicTime now);
+    void publish();
+    std::shared_ptr<const catalog::ServerTable> buildServers(MonotonicTime now);
+
+    Parts parts;
+    asio::steady_timer timer;
+    TableState configuration;
+    TableState servers;
+    std::map<HostId, FreshPeer> peersInDomain;
+    std::shared_ptr<const catalog::Catalog> catalog;
+    /// Entries that lapsed while the store was away, with the time until which their servers may still be used.
+    std::map<std::string, std::pair<HeldRow, MonotonicTime>> lapsedServers;
+    MonotonicTime storeAwaySince{};
+    MonotonicTime storeBackAt{};
+    MonotonicTime startedAt{};
+    bool isStoreAway = false;
+    std::set<std::string> reportedRows;
+
+    std::atomic<bool> isEntryHost{false};
+    std::atomic<std::uint64_t> configurationVersion{0};
+    std::atomic<std::uint64_t> serversVersion{0};
+    std::atomic<std::int64_t> lastStoreAnswer{0};
+    std::atomic<bool> isReadingStore{false};
+};
+
+} // namespace rhubarbtiller::gateway
--- /dev/null
+++ b/packages/gateway/lib/tablereplica.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <rhubarbtiller/gateway/statesource.h>
+
+#include <fleet_types.h>
+
+namespace rhubarbtiller::gateway {
+
+/// A host's copy of one table of the store, from the store itself or from a peer that is ahead.
+///
+/// Thread safety: one thread.
+class TableReplica
+{
+public:
+    /// Takes the whole table; returns whether the copy changed. A batch that is older than the copy is ignored.
+    ///
+    /// Precondition: \p now does not go back.
+    bool replace(const SourceBatch &batch, MonotonicTime now);
+
+    /// Takes changes; returns whether the copy changed. Precondition: the batch follows position().
+    bool apply(const SourceBatch &batch, MonotonicTime now);
+
+    /// Takes what a peer answered; returns whether the copy changed. Precondition: it was asked with version().
+    bool adopt(const wire::ReplicaAnswer &answer, MonotonicTime now);
+
+    /// Returns what a peer lacks that holds \p after. Precondition: none.
+    wire::ReplicaAnswer answer(std::uint64_t after, MonotonicTime now) const;
+
+    /// Returns the store's version at the newest change in the copy; 0 if there is none. Precondition: none.
+    std::uint64_t version() const
+    {
+        return this->changedAtVersion;
+    }
+
+    /// Returns the version from which to ask for changes. Precondition: none.
+    std::uint64_t position() const
+    {
+        return this->followedTo;
+    }
+
+    const HeldRows &rows() const
+    {
+        return this->held;
+    }
+
+    /// Returns the rows that the last call of replace(), apply() or adopt() removed. Precondition: none.
+    const HeldRows &removedRows() const
+    {
+        return this->removed;
+    }
+
+private:
+    bool put(const std::string &key, std::string value, std::uint64_t version, MonotonicTime receivedAt);
+    bool drop(const std::string &key);
+
+    HeldRows held;
+    HeldRows removed;
+    std::uint64_t changedAtVersion = 0;
+    std::uint64_t followedTo = 0;
+};
+
+} // namespace rhubarbtiller::gateway
--- a/packages/host/include/rhubarbtiller/host/configcontroller.h
+++ b/packages/host/include/rhubarbtiller/host/configcontroller.h
@@ -4,7 +4,7 @@
 #include <rhubarbtiller/blackboard/blackboard.h>
 #include <rhubarbtiller/host/leasecontroller.h>
 #include <rhubarbtiller/peer/peernetwork.h>
-#include <rhubarbtiller/platform/changelogstore.h>
+#include <rhubarbtiller/tablestore/changelogstore.h>
 
 #include <asio/any_io_executor.hpp>
 #include <asio/awaitable.hpp>
@@ -31,7 +31,7 @@
     /// Precondition: \p controlStrand serialises all controllers; the references outlive this object.
     ConfigController(asio::any_io_executor controlStrand,
                      const Clock &systemClock,
-                     platform::ChangeLogStore &changeLog,
+                     tablestore::ChangeLogStore &changeLog,
                      peer::PeerNetwork &peerNetwork,
                      blackboard::Blackboard &blackboard,
                      LeaseController &leaseController,
@@ -50,7 +50,7 @@
     void onConfigRequest(const peer::wire::ConfigRequest &message, const peer::PeerReplyFunction &reply) const;
 
     /// Returns the last head that was read, and whether the last read succeeded. Precondition: none.
-    const platform::LogHead &head() const
+    const tablestore::LogHead &head() const
     {
         return this->lastHead;
     }
@@ -94,8 +94,8 @@
 private:
     asio::awaitable<void> run();
     asio::awaitable<void> poll();
-    asio::awaitable<bool> catchUp(platform::LogHead head);
-    asio::awaitable<bool> loadSnapshot(platform::LogHead head);
+    asio::awaitable<bool> catchUp(tablestore::LogHead head);
+    asio::awaitable<bool> loadSnapshot(tablestore::LogHead head);
     asio::awaitable<void> catchUpFromPeers();
     void apply(const std::vector<config::Change> &changes);
     void announceLimits(const config::Change &change) const;
@@ -104,7 +104,7 @@
 
     asio::any_io_executor strand;
     const Clock &clock;
-    platform::ChangeLogStore &store;
+    tablestore::ChangeLogStore &store;
     peer::PeerNetwork &network;
     blackboard::Blackboard &board;
     LeaseController &leases;
@@ -114,7 +114,7 @@
     std::shared_ptr<const membership::Placement> placement;
     /// The newest changes, for peers that are behind.
     std::deque<config::Change> recentChanges;
-    platform::LogHead lastHead;
+    tablestore::LogHead lastHead;
     std::error_code lastError;
     bool storeReachable = false;
     bool isStopped = false;
--- a/packages/host/include/rhubarbtiller/host/homeservice.h
+++ b/packages/host/include/rhubarbtiller/host/homeservice.h
@@ -7,7 +7,7 @@
 #include <rhubarbtiller/limits/borrowing.h>
 #include <rhubarbtiller/limits/rateshares.h>
 #include <rhubarbtiller/limits/retrybudget.h>
-#include <rhubarbtiller/platform/changelogstore.h>
+#include <rhubarbtiller/tablestore/changelogstore.h>
 #include <rhubarbtiller/routing/outcometracker.h>
 #include <rhubarbtiller/routing/serverchooser.h>
 
@@ -37,7 +37,7 @@
         ServerOwner &serverOwner;
         ForwardClient &forwarder;
         peer::PeerNetwork &network;
-        platform::ChangeLogStore &store;
+        tablestore::ChangeLogStore &store;
         RandomSource &random;
         telemetry::SpanExporter &spans;
     };
@@ -68,7 +68,7 @@
     admit(const Work &work, const blackboard::RoutingView &view, std::optional<Admitted> &admitted);
     asio::awaitable<bool>
     borrow(const Work &work, const blackboard::RoutingView &view, const config::Organisation &organisation, const limits::RateSlice &slice);
-    asio::awaitable<std::optional<WorkOutcome>> claim(const Work &work, std::optional<platform::IdempotencyClaim> &claimed);
+    asio::awaitable<std::optional<WorkOutcome>> claim(const Work &work, std::optional<tablestore::IdempotencyClaim> &claimed);
     asio::awaitable<WorkOutcome> attemptAll(const Work &work, const config::Route &route);
     void noteLoad(const routing::ServerView &server, const WorkOutcome &outcome) const;
     asio::awaitable<WorkOutcome>
--- a/packages/host/include/rhubarbtiller/host/rostercontroller.h
+++ b/packages/host/include/rhubarbtiller/host/rostercontroller.h
@@ -3,8 +3,8 @@
 #include <rhubarbtiller/base/random.h>
 #include <rhubarbtiller/host/configcontroller.h>
 #include <rhubarbtiller/host/leasecontroller.h>
-#include <rhubarbtiller/platform/changelogstore.h>
-#include <rhubarbtiller/platform/hostlist.h>
+#include <rhubarbtiller/tablestore/changelogstore.h>
+#include <rhubarbtiller/tablestore/hostlist.h>
 
 #include <asio/any_io_executor.hpp>
 #include <asio/awaitable.hpp>
@@ -25,8 +25,8 @@
     /// Precondition: \p controlStrand serialises all controllers; the references outlive this object.
     RosterController(asio::any_io_executor controlStrand,
                      const Clock &systemClock,
-                     platform::ChangeLogStore &changeLog,
-                     platform::HostList &platformHosts,
+                     tablestore::ChangeLogStore &changeLog,
+                     tablestore::HostList &platformHosts,
                      ConfigController &configController,
                      LeaseController &leaseController,
                      RandomSource &random,
@@ -62,8 +62,8 @@
 
     asio::any_io_executor strand;
     const Clock &clock;
-    platform::ChangeLogStore &store;
-    platform::HostList &hostList;
+    tablestore::ChangeLogStore &store;
+    tablestore::HostList &hostList;
     ConfigController &configs;
     LeaseController &leases;
     RandomSource &randomSource;
--- a/packages/host/lib/configcontroller.cpp
+++ b/packages/host/lib/configcontroller.cpp
@@ -33,7 +33,7 @@
 
 ConfigController::ConfigController(asio::any_io_executor controlStrand,
                                    const Clock &systemClock,
-                                   platform::ChangeLogStore &changeLog,
+                                   tablestore::ChangeLogStore &changeLog,
                                    peer::PeerNetwork &peerNetwork,
                                    blackboard::Blackboard &blackboard,
                                    LeaseController &leaseController,
@@ -82,7 +82,7 @@
 asio::awaitable<void> ConfigController::poll()
 {
     const auto sentAt = this->clock.now();
-    auto head = co_await awaitHandler<Result<platform::LogHead>>([&](auto handler) {
+    auto head = co_await awaitHandler<Result<tablestore::LogHead>>([&](auto handler) {
         this->store.readHead(sentAt + ReadTimeout, std::move(handler));
     });
     if (!head) {
@@ -106,7 +106,7 @@
     this->leases.onStoreRead(head->version, sentAt);
 }
 
-asio::awaitable<bool> ConfigController::loadSnapshot(platform::LogHead head)
+asio::awaitable<bool> ConfigController::loadSnapshot(tablestore::LogHead head)
 {
     auto loaded = co_await awaitHandler<Result<std::shared_ptr<const config::Snapshot>>>([&](auto handler) {
         this->store.readSnapshot(head, this->clock.now() + SnapshotTimeout, std::move(handler));
@@ -121,7 +121,7 @@
     co_return true;
 }
 
-asio::awaitable<bool> ConfigController::catchUp(platform::LogHead head)
+asio::awaitable<bool> ConfigController::catchUp(tablestore::LogHead head)
 {
     // A host that is far behind reads the snapshot; if it cannot be read, all changes lead to the same state.
     if (head.snapshotVersion.count() > this->current->version().count() + RecentChangeCount || this->current->version().count() == 0) {
--- a/packages/host/lib/homeservice.cpp
+++ b/packages/host/lib/homeservice.cpp
@@ -75,7 +75,7 @@
     if (auto refused = co_await this->admit(work, *view, admitted)) {
         co_return std::move(*refused);
     }
-    std::optional<platform::IdempotencyClaim> claimed;
+    std::optional<tablestore::IdempotencyClaim> claimed;
     if (!route->isIdempotent) {
         if (auto refused = co_await this->claim(work, claimed)) {
             co_return std::move(*refused);
@@ -178,29 +178,29 @@
     return this->parts.rates.lend(slice, limit, wanted, loanTime, this->parts.clock.now());
 }
 
-asio::awaitable<std::optional<WorkOutcome>> HomeService::claim(const Work &work, std::optional<platform::IdempotencyClaim> &claimed)
+asio::awaitable<std::optional<WorkOutcome>> HomeService::claim(const Work &work, std::optional<tablestore::IdempotencyClaim> &claimed)
 {
     const auto key = findHeader(work.request.headers, "Idempotency-Key");
     if (key.empty()) {
         co_return std::nullopt;
     }
-    platform::IdempotencyClaim wanted;
+    tablestore::IdempotencyClaim wanted;
     wanted.organisation = work.organisation;
     wanted.keyDigest = sha256Hex(key);
     wanted.requestDigest = sha256Hex(work.request.method + " " + work.request.target + "\n" + work.request.body);
     wanted.expiry = this->parts.clock.wallNow() + ClaimLifetime;
     wanted.attempt = work.id;
     const auto now = this->parts.clock.now();
-    auto result = co_await awaitHandler<platform::ClaimResult>([&](auto handler) {
+    auto result = co_await awaitHandler<tablestore::ClaimResult>([&](auto handler) {
         this->parts.store.claimIdempotencyKey(wanted, std::min(work.deadline, now + ClaimTimeout), std::move(handler));
     });
     switch (result.outcome) {
-    case platform::ClaimOutcome::Claimed:
+    case tablestore::ClaimOutcome::Claimed:
         claimed = std::move(wanted);
         co_return std::nullopt;
-    case platform::ClaimOutcome::AlreadyClaimed:
+    case tablestore::ClaimOutcome::AlreadyClaimed:
         co_return WorkOutcome::refused(Reason::DuplicateRequest, Execution::NotRun);
-    case platform::ClaimOutcome::Unknown:
+    case tablestore::ClaimOutcome::Unknown:
         break;
     }
     // The claim may have been written: it is released so that the caller can repeat the request with the same key.
--- a/packages/host/lib/hostprocess.cpp
+++ b/packages/host/lib/hostprocess.cpp
@@ -10,9 +10,9 @@
 #include <rhubarbtiller/http/curlhttpclient.h>
 #include <rhubarbtiller/http/restinioserver.h>
 #include <rhubarbtiller/peer/peertransport.h>
-#include <rhubarbtiller/platform/dynamotableservice.h>
-#include <rhubarbtiller/platform/httphostlist.h>
-#include <rhubarbtiller/platform/s3objectstore.h>
+#include <rhubarbtiller/tablestore/dynamotableservice.h>
+#include <rhubarbtiller/tablestore/httphostlist.h>
+#include <rhubarbtiller/tablestore/s3objectstore.h>
 #include <rhubarbtiller/telemetry/log.h>
 
 #include <rhubarbtiller/membership/leasetimes.h>
@@ -58,7 +58,7 @@
     return bounds;
 }
 
-static platform::ServiceAccess accessTo(const Endpoint &server, const settings::PlatformSettings &platform)
+static tablestore::ServiceAccess accessTo(const Endpoint &server, const settings::PlatformSettings &platform)
 {
     return {server, platform.region, platform.credential};
 }
@@ -327,10 +327,10 @@
     std::unique_ptr<peer::PeerNetwork> network;
     std::unique_ptr<http::HttpClient> platformClient;
     std::unique_ptr<http::HttpClient> backendClient;
-    platform::DynamoTableService tables;
-    platform::S3ObjectStore objects;
-    platform::HttpHostList hostList;
-    platform::ChangeLogStore store;
+    tablestore::DynamoTableService tables;
+    tablestore::S3ObjectStore objects;
+    tablestore::HttpHostList hostList;
+    tablestore::ChangeLogStore store;
     LeaseController leases;
     ConfigController configs;
     RosterController roster;
--- a/packages/host/lib/rostercontroller.cpp
+++ b/packages/host/lib/rostercontroller.cpp
@@ -34,8 +34,8 @@
 
 RosterController::RosterController(asio::any_io_executor controlStrand,
                                    const Clock &systemClock,
-                                   platform::ChangeLogStore &changeLog,
-                                   platform::HostList &platformHosts,
+                                   tablestore::ChangeLogStore &changeLog,
+                                   tablestore::HostList &platformHosts,
                                    ConfigController &configController,
                                    LeaseController &leaseController,
                                    RandomSource &random,
@@ -168,13 +168,13 @@
         this->dueAt.erase("removal");
         co_return std::vector<config::Mutation>();
     }
-    auto listed = co_await awaitHandler<Result<std::vector<platform::ListedHost>>>([&](auto handler) {
+    auto listed = co_await awaitHandler<Result<std::vector<tablestore::ListedHost>>>([&](auto handler) {
         this->hostList.readHosts(now + StoreTimeout, std::move(handler));
     });
     std::vector<config::Mutation> mutations;
     for (const auto &peer : silent) {
-        const bool isListedLive = listed && std::ranges::any_of(*listed, [&](const platform::ListedHost &host) {
-                                      return host.id == peer && host.state == platform::ListedHostState::Live;
+        const bool isListedLive = listed && std::ranges::any_of(*listed, [&](const tablestore::ListedHost &host) {
+                                      return host.id == peer && host.state == tablestore::ListedHostState::Live;
                                   });
         const bool mayRemove = listed ? !isListedLive : now - this->silentSince[peer] > SilenceWithoutList;
         // One host for each change: the rule about witnesses holds for a single removal.
@@ -197,12 +197,12 @@
     change.author = "host " + this->self.id.text();
     change.mutations = std::move(mutations);
     const auto expected = this->configs.snapshot()->version();
-    auto result = co_await awaitHandler<platform::AppendResult>([&](auto handler) {
+    auto result = co_await awaitHandler<tablestore::AppendResult>([&](auto handler) {
         this->store.append(change, expected, this->clock.now() + StoreTimeout, std::move(handler));
     });
     // After a conflict or an unknown outcome the next poll shows what stands in the log, and the need is judged anew.
-    const char *outcome = result.outcome == platform::AppendOutcome::Committed ? "committed"
-        : result.outcome == platform::AppendOutcome::Conflict                  ? "conflict"
+    const char *outcome = result.outcome == tablestore::AppendOutcome::Committed ? "committed"
+        : result.outcome == tablestore::AppendOutcome::Conflict                  ? "conflict"
                                                                                : "unresolved";
     logEvent(LogLevel::Info, "roster_change", {{"purpose", purpose}, {"outcome", outcome}, {"version", expected.count() + 1}});
     this->configs.pollSoon();
--- a/packages/host/unittests/fleetfixture.cpp
+++ b/packages/host/unittests/fleetfixture.cpp
@@ -82,10 +82,10 @@
         started.set_value();
     });
     started.get_future().get();
-    const platform::ServiceAccess access{this->platformStandin.boundAddress(), "", ""};
-    this->tables = std::make_unique<platform::DynamoTableService>(*this->client, access, "rhubarbtiller");
-    this->objects = std::make_unique<platform::S3ObjectStore>(*this->client, access, "rhubarbtiller");
-    this->store = std::make_unique<platform::ChangeLogStore>(*this->tables, *this->objects, this->clock);
+    const tablestore::ServiceAccess access{this->platformStandin.boundAddress(), "", ""};
+    this->tables = std::make_unique<tablestore::DynamoTableService>(*this->client, access, "rhubarbtiller");
+    this->objects = std::make_unique<tablestore::S3ObjectStore>(*this->client, access, "rhubarbtiller");
+    this->store = std::make_unique<tablestore::ChangeLogStore>(*this->tables, *this->objects, this->clock);
     for (std::size_t i = 0; i < HostCount; ++i) {
         this->startHost(i);
     }
@@ -190,7 +190,7 @@
 bool Fleet::areRowsKnown()
 {
     const auto deadline = this->clock.now() + std::chrono::seconds(1);
-    const auto head = waitFor<Result<platform::LogHead>>([&](auto handler) {
+    const auto head = waitFor<Result<tablestore::LogHead>>([&](auto handler) {
         this->store->readHead(deadline, handler);
     });
     if (!head) {
@@ -210,10 +210,10 @@
     const bool isCommitted = eventually([&] {
         this->areRowsKnown();
         config::Change entry{ConfigVersion(), ChangeId("test-" + std::to_string(this->nextTag++)), "test", mutations};
-        return waitFor<platform::AppendResult>([&](auto handler) {
+        return waitFor<tablestore::AppendResult>([&](auto handler) {
                    this->store->append(entry, this->snapshot->version(), this->clock.now() + std::chrono::seconds(1), handler);
                }).outcome
-            == platform::AppendOutcome::Committed;
+            == tablestore::AppendOutcome::Committed;
     });
     this->areRowsKnown();
     return isCommitted && eventually([this] {
--- a/packages/host/unittests/fleetfixture.h
+++ b/packages/host/unittests/fleetfixture.h
@@ -7,9 +7,9 @@
 #include <rhubarbtiller/config/change.h>
 #include <rhubarbtiller/host/hostprocess.h>
 #include <rhubarbtiller/http/curlhttpclient.h>
-#include <rhubarbtiller/platform/changelogstore.h>
-#include <rhubarbtiller/platform/dynamotableservice.h>
-#include <rhubarbtiller/platform/s3objectstore.h>
+#include <rhubarbtiller/tablestore/changelogstore.h>
+#include <rhubarbtiller/tablestore/dynamotableservice.h>
+#include <rhubarbtiller/tablestore/s3objectstore.h>
 #include <rhubarbtiller/testing/backendstandin.h>
 #include <rhubarbtiller/testing/history.h>
 #include <rhubarbtiller/testing/platformstandin.h>
@@ -137,9 +137,9 @@
     ContextThread standins;
     std::unique_ptr<http::HttpClient> client;
     testing::PlatformStandin platformStandin;
-    std::unique_ptr<platform::DynamoTableService> tables;
-    std::unique_ptr<platform::S3ObjectStore> objects;
-    std::unique_ptr<platform::ChangeLogStore> store;
+    std::unique_ptr<tablestore::DynamoTableService> tables;
+    std::unique_ptr<tablestore::S3ObjectStore> objects;
+    std::unique_ptr<tablestore::ChangeLogStore> store;
     std::vector<std::unique_ptr<testing::BackendStandin>> servers;
     std::vector<HostEntry> hosts;
     std::shared_ptr<const config::Snapshot> snapshot = std::make_shared<const config::Snapshot>();
--- a/packages/http/include/rhubarbtiller/http/httpserver.h
+++ b/packages/http/include/rhubarbtiller/http/httpserver.h
@@ -69,6 +69,11 @@
     /// Returns the address with the port that was bound. Precondition: started. Thread safety: any thread.
     virtual Endpoint boundAddress() const = 0;
 
+    /// Has every response from now on close its connection; new connections are still accepted.
+    ///
+    /// Precondition: started. Thread safety: any thread.
+    virtual void closeAfterResponses() = 0;
+
     /// Closes the listening socket; open connections live on, and every response from now on closes its connection.
     ///
     /// Precondition: started. Thread safety: any thread.
--- a/packages/http/lib/restinioserver.cpp
+++ b/packages/http/lib/restinioserver.cpp
@@ -85,6 +85,7 @@
 
     Status start();
     Endpoint boundAddress() const;
+    void closeAfterResponses();
     void stopAccepting();
     void stop();
 
@@ -140,6 +141,11 @@
         return this->core->boundAddress();
     }
 
+    void closeAfterResponses() override
+    {
+        this->core->closeAfterResponses();
+    }
+
     void stopAccepting() override
     {
         this->core->stopAccepting();
@@ -354,9 +360,14 @@
     return this->bound;
 }
 
-void ServerCore::stopAccepting()
+void ServerCore::closeAfterResponses()
 {
     this->stopping = true;
+}
+
+void ServerCore::stopAccepting()
+{
+    this->closeAfterResponses();
     asio::post(this->strand, [self = this->shared_from_this()] {
         std::error_code ignored;
         self->acceptor.close(ignored);
--- a/packages/operatorclient/include/rhubarbtiller/operatorclient/session.h
+++ b/packages/operatorclient/include/rhubarbtiller/operatorclient/session.h
@@ -4,7 +4,7 @@
 #include <rhubarbtiller/config/snapshot.h>
 #include <rhubarbtiller/http/httpclient.h>
 #include <rhubarbtiller/operatorclient/exitcode.h>
-#include <rhubarbtiller/platform/changelogstore.h>
+#include <rhubarbtiller/tablestore/changelogstore.h>
 #include <rhubarbtiller/settings/settings.h>
 
 #include <functional>
@@ -45,7 +45,7 @@
     Session(settings::OperatorSettings operatorSettings,
             const Clock &systemClock,
             http::HttpClient &httpClient,
-            platform::ChangeLogStore &changeLog,
+            tablestore::ChangeLogStore &changeLog,
             RandomSource &random,
             std::ostream &messages);
 
@@ -81,7 +81,7 @@
     settings::OperatorSettings settings;
     const Clock &clock;
     http::HttpClient &client;
-    platform::ChangeLogStore &store;
+    tablestore::ChangeLogStore &store;
     RandomSource &randomSource;
     std::ostream &output;
     bool mayBeWritten = false;
--- a/packages/operatorclient/lib/session.cpp
+++ b/packages/operatorclient/lib/session.cpp
@@ -34,7 +34,7 @@
 Session::Session(settings::OperatorSettings operatorSettings,
                  const Clock &systemClock,
                  http::HttpClient &httpClient,
-                 platform::ChangeLogStore &changeLog,
+                 tablestore::ChangeLogStore &changeLog,
                  RandomSource &random,
                  std::ostream &messages)
     : settings(std::move(operatorSettings))
@@ -53,7 +53,7 @@
 
 Result<std::shared_ptr<const config::Snapshot>> Session::load()
 {
-    auto head = blockOn<Result<platform::LogHead>>([&](auto handler) {
+    auto head = blockOn<Result<tablestore::LogHead>>([&](auto handler) {
         this->store.readHead(this->clock.now() + StoreTimeout, std::move(handler));
     });
     if (!head) {
@@ -110,16 +110,16 @@
             return ExitCode::Invalid;
         }
         this->mayBeWritten = true;
-        const auto result = blockOn<platform::AppendResult>([&](auto handler) {
+        const auto result = blockOn<tablestore::AppendResult>([&](auto handler) {
             this->store.append(change, base, this->clock.now() + StoreTimeout, std::move(handler));
         });
         switch (result.outcome) {
-        case platform::AppendOutcome::Committed:
+        case tablestore::AppendOutcome::Committed:
             return this->waitForAcceptance(change.version);
-        case platform::AppendOutcome::Conflict:
+        case tablestore::AppendOutcome::Conflict:
             this->mayBeWritten = false;
             continue;
-        case platform::AppendOutcome::Unresolved:
+        case tablestore::AppendOutcome::Unresolved:
             return this->resolve(change);
         }
     }
@@ -132,13 +132,13 @@
     const auto deadline = this->clock.now() + ResolveTime;
     this->output << "the store did not answer; asking whether change " << change.id.text() << " was written\n";
     while (this->clock.now() < deadline) {
-        const auto result = blockOn<platform::AppendResult>([&](auto handler) {
+        const auto result = blockOn<tablestore::AppendResult>([&](auto handler) {
             this->store.resolve(change, this->clock.now() + StoreTimeout, std::move(handler));
         });
-        if (result.outcome == platform::AppendOutcome::Committed) {
+        if (result.outcome == tablestore::AppendOutcome::Committed) {
             return this->waitForAcceptance(change.version);
         }
-        if (result.outcome == platform::AppendOutcome::Conflict) {
+        if (result.outcome == tablestore::AppendOutcome::Conflict) {
             this->output << "change " << change.id.text() << " was not written, since another change came first\n";
             return ExitCode::Conflict;
         }
--- a/packages/platform/include/rhubarbtiller/platform/changelogstore.h
+++ b/packages/tablestore/include/rhubarbtiller/tablestore/changelogstore.h
@@ -5,14 +5,14 @@
 #include <rhubarbtiller/base/strongnumber.h>
 #include <rhubarbtiller/config/change.h>
 #include <rhubarbtiller/config/snapshot.h>
-#include <rhubarbtiller/platform/objectstore.h>
-#include <rhubarbtiller/platform/tableservice.h>
+#include <rhubarbtiller/tablestore/objectstore.h>
+#include <rhubarbtiller/tablestore/tableservice.h>
 
 #include <memory>
 #include <string>
 #include <vector>
 
-namespace rhubarbtiller::platform {
+namespace rhubarbtiller::tablestore {
 
 /// The state of the change log as one consistent read sees it.
 struct LogHead
@@ -140,4 +140,4 @@
     const Clock &clock;
 };
 
-} // namespace rhubarbtiller::platform
+} // namespace rhubarbtiller::tablestore
--- a/packages/platform/include/rhubarbtiller/platform/dynamotableservice.h
+++ b/packages/tablestore/include/rhubarbtiller/tablestore/dynamotableservice.h
@@ -1,14 +1,14 @@
 #pragma once
 
 #include <rhubarbtiller/http/httpclient.h>
-#include <rhubarbtiller/platform/serviceaccess.h>
-#include <rhubarbtiller/platform/tableservice.h>
+#include <rhubarbtiller/tablestore/serviceaccess.h>
+#include <rhubarbtiller/tablestore/tableservice.h>
 
 #include <memory>
 #include <optional>
 #include <string>
 
-namespace rhubarbtiller::platform {
+namespace rhubarbtiller::tablestore {
 
 /// Speaks the Amazon DynamoDB low-level JSON API, version 2012-08-10.
 ///
@@ -37,4 +37,4 @@
     std::shared_ptr<const Connection> connection;
 };
 
-} // namespace rhubarbtiller::platform
+} // namespace rhubarbtiller::tablestore
--- a/packages/platform/include/rhubarbtiller/platform/errors.h
+++ b/packages/tablestore/include/rhubarbtiller/tablestore/errors.h
@@ -2,7 +2,7 @@
 
 #include <system_error>
 
-namespace rhubarbtiller::platform {
+namespace rhubarbtiller::tablestore {
 
 enum class PlatformError {
     /// A condition of the write does not hold; nothing was written.
@@ -35,9 +35,9 @@
 /// Codes of other categories count as unknown. Precondition: none. Thread safety: any thread.
 bool isOutcomeUnknown(const std::error_code &error);
 
-} // namespace rhubarbtiller::platform
+} // namespace rhubarbtiller::tablestore
 
 template<>
-struct std::is_error_code_enum<rhubarbtiller::platform::PlatformError> : std::true_type
+struct std::is_error_code_enum<rhubarbtiller::tablestore::PlatformError> : std::true_type
 {
 };
--- a/packages/platform/include/rhubarbtiller/platform/hostlist.h
+++ b/packages/tablestore/include/rhubarbtiller/tablestore/hostlist.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include <rhubarbtiller/base/strongid.h>
-#include <rhubarbtiller/platform/tableservice.h>
+#include <rhubarbtiller/tablestore/tableservice.h>
 
 #include <vector>
 
-namespace rhubarbtiller::platform {
+namespace rhubarbtiller::tablestore {
 
 enum class ListedHostState {
     Live,
@@ -38,4 +38,4 @@
     virtual void readHosts(MonotonicTime deadline, Handler<Result<std::vector<ListedHost>>> handler) = 0;
 };
 
-} // namespace rhubarbtiller::platform
+} // namespace rhubarbtiller::tablestore
--- a/packages/platform/include/rhubarbtiller/platform/httphostlist.h
+++ b/packages/tablestore/include/rhubarbtiller/tablestore/httphostlist.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include <rhubarbtiller/http/httpclient.h>
-#include <rhubarbtiller/platform/hostlist.h>
+#include <rhubarbtiller/tablestore/hostlist.h>
 
 #include <string>
 
-namespace rhubarbtiller::platform {
+namespace rhubarbtiller::tablestore {
 
 /// Reads the host list as a JSON document by GET.
 ///
@@ -26,4 +26,4 @@
     std::string target;
 };
 
-} // namespace rhubarbtiller::platform
+} // namespace rhubarbtiller::tablestore
--- a/packages/platform/include/rhubarbtiller/platform/objectstore.h
+++ b/packages/tablestore/include/rhubarbtiller/tablestore/objectstore.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include <rhubarbtiller/base/strongid.h>
-#include <rhubarbtiller/platform/tableservice.h>
+#include <rhubarbtiller/tablestore/tableservice.h>
 
 #include <string>
 
-namespace rhubarbtiller::platform {
+namespace rhubarbtiller::tablestore {
 
 /// The name of an object in the bucket: letters, digits, "-", "_", "." and "/".
 using ObjectName = StrongId<struct ObjectNameTag>;
@@ -28,4 +28,4 @@
     virtual void writeObject(ObjectName name, std::string content, MonotonicTime deadline, Handler<Status> handler) = 0;
 };
 
-} // namespace rhubarbtiller::platform
+} // namespace rhubarbtiller::tablestore
--- a/packages/platform/include/rhubarbtiller/platform/s3objectstore.h
+++ b/packages/tablestore/include/rhubarbtiller/tablestore/s3objectstore.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include <rhubarbtiller/http/httpclient.h>
-#include <rhubarbtiller/platform/objectstore.h>
-#include <rhubarbtiller/platform/serviceaccess.h>
+#include <rhubarbtiller/tablestore/objectstore.h>
+#include <rhubarbtiller/tablestore/serviceaccess.h>
 
-namespace rhubarbtiller::platform {
+namespace rhubarbtiller::tablestore {
 
 /// Speaks the Amazon S3 REST API with path-style addresses: "/bucket/object".
 ///
@@ -24,4 +24,4 @@
     std::string bucketName;
 };
 
-} // namespace rhubarbtiller::platform
+} // namespace rhubarbtiller::tablestore
--- a/packages/platform/include/rhubarbtiller/platform/serviceaccess.h
+++ b/packages/tablestore/include/rhubarbtiller/tablestore/serviceaccess.h
@@ -4,7 +4,7 @@
 
 #include <string>
 
-namespace rhubarbtiller::platform {
+namespace rhubarbtiller::tablestore {
 
 /// Where a service of the platform listens and what it asks for.
 struct ServiceAccess
@@ -16,4 +16,4 @@
     std::string credential;
 };
 
-} // namespace rhubarbtiller::platform
+} // namespace rhubarbtiller::tablestore
--- a/packages/platform/include/rhubarbtiller/platform/tableservice.h
+++ b/packages/tablestore/include/rhubarbtiller/tablestore/tableservice.h
@@ -10,7 +10,7 @@
 #include <variant>
 #include <vector>
 
-namespace rhubarbtiller::platform {
+namespace rhubarbtiller::tablestore {
 
 /// Receives the outcome of an asynchronous call; runs exactly once, on any thread.
 template<class Outcome>
@@ -148,4 +148,4 @@
     virtual void writeTransaction(Transaction transaction, MonotonicTime deadline, Handler<Status> handler) = 0;
 };
 
-} // namespace rhubarbtiller::platform
+} // namespace rhubarbtiller::tablestore
--- a/packages/platform/lib/callerrors.cpp
+++ b/packages/tablestore/lib/callerrors.cpp
@@ -6,7 +6,7 @@
 
 #include <map>
 
-namespace rhubarbtiller::platform {
+namespace rhubarbtiller::tablestore {
 
 using Json = nlohmann::json;
 
@@ -107,4 +107,4 @@
     return response.status >= 500 ? PlatformError::Unavailable : PlatformError::InvalidRequest;
 }
 
-} // namespace rhubarbtiller::platform
+} // namespace rhubarbtiller::tablestore
--- a/packages/platform/lib/callerrors.h
+++ b/packages/tablestore/lib/callerrors.h
@@ -1,12 +1,12 @@
 #pragma once
 
 #include <rhubarbtiller/http/httpmessage.h>
-#include <rhubarbtiller/platform/errors.h>
+#include <rhubarbtiller/tablestore/errors.h>
 
 #include <string>
 #include <system_error>
 
-namespace rhubarbtiller::platform {
+namespace rhubarbtiller::tablestore {
 
 /// Converts an error of the HTTP client to this layer. Precondition: \p error is set. Thread safety: any thread.
 PlatformError fromHttpError(const std::error_code &error);
@@ -17,4 +17,4 @@
 /// Returns what an error response of the table service means. Precondition: the status is not 2xx. Thread safety: any thread.
 PlatformError fromDynamoError(const http::HttpResponse &response);
 
-} // namespace rhubarbtiller::platform
+} // namespace rhubarbtiller::tablestore
--- a/packages/platform/lib/changelogstore.cpp
+++ b/packages/tablestore/lib/changelogstore.cpp
@@ -1,15 +1,15 @@
-#include <rhubarbtiller/platform/changelogstore.h>
+#include <rhubarbtiller/tablestore/changelogstore.h>
 
 #include "logitems.h"
 
 #include <rhubarbtiller/config/codec.h>
-#include <rhubarbtiller/platform/errors.h>
+#include <rhubarbtiller/tablestore/errors.h>
 
 #include <algorithm>
 #include <cassert>
 #include <utility>
 
-namespace rhubarbtiller::platform {
+namespace rhubarbtiller::tablestore {
 
 // Bounds on repetitions within one call; the caller decides whether to ask again.
 static constexpr int MaxLostAnswers = 3;
@@ -251,4 +251,4 @@
     std::make_shared<AppendOperation>(this->tables, this->clock, std::move(change), deadline, std::move(handler))->resolve();
 }
 
-} // namespace rhubarbtiller::platform
+} // namespace rhubarbtiller::tablestore
--- a/packages/platform/lib/claims.cpp
+++ b/packages/tablestore/lib/claims.cpp
@@ -1,15 +1,15 @@
-#include <rhubarbtiller/platform/changelogstore.h>
+#include <rhubarbtiller/tablestore/changelogstore.h>
 
 #include "logitems.h"
 
-#include <rhubarbtiller/platform/errors.h>
+#include <rhubarbtiller/tablestore/errors.h>
 
 #include <algorithm>
 #include <cassert>
 #include <chrono>
 #include <utility>
 
-namespace rhubarbtiller::platform {
+namespace rhubarbtiller::tablestore {
 
 static constexpr int MaxLostAnswers = 3;
 static constexpr int MaxTransactionConflicts = 8;
@@ -153,4 +153,4 @@
     });
 }
 
-} // namespace rhubarbtiller::platform
+} // namespace rhubarbtiller::tablestore
--- a/packages/platform/lib/dynamojson.cpp
+++ b/packages/tablestore/lib/dynamojson.cpp
@@ -4,7 +4,7 @@
 
 #include <charconv>
 
-namespace rhubarbtiller::platform {
+namespace rhubarbtiller::tablestore {
 
 using Json = nlohmann::json;
 
@@ -194,4 +194,4 @@
     return {{"TransactItems", std::move(elements)}, {"ClientRequestToken", transaction.clientRequestToken}};
 }
 
-} // namespace rhubarbtiller::platform
+} // namespace rhubarbtiller::tablestore
--- a/packages/platform/lib/dynamojson.h
+++ b/packages/tablestore/lib/dynamojson.h
@@ -1,14 +1,14 @@
 #pragma once
 
 #include <rhubarbtiller/base/result.h>
-#include <rhubarbtiller/platform/tableservice.h>
+#include <rhubarbtiller/tablestore/tableservice.h>
 
 #include <nlohmann/json.hpp>
 
 #include <optional>
 #include <string>
 
-namespace rhubarbtiller::platform {
+namespace rhubarbtiller::tablestore {
 
 /// The names of the key attributes in the table.
 inline constexpr const char *PartitionAttribute = "pk";
@@ -36,4 +36,4 @@
 /// Returns the body of a TransactWriteItems call. Thread safety: any thread.
 nlohmann::json encodeTransactWriteItems(const std::string &tableName, const Transaction &transaction);
 
-} // namespace rhubarbtiller::platform
+} // namespace rhubarbtiller::tablestore
--- a/packages/platform/lib/dynamotableservice.cpp
+++ b/packages/tablestore/lib/dynamotableservice.cpp
@@ -1,4 +1,4 @@
-#include <rhubarbtiller/platform/dynamotableservice.h>
+#include <rhubarbtiller/tablestore/dynamotableservice.h>
 
 #include "callerrors.h"
 #include "dynamojson.h"
@@ -7,7 +7,7 @@
 #include <cassert>
 #include <utility>
 
-namespace rhubarbtiller::platform {
+namespace rhubarbtiller::tablestore {
 
 using Json = nlohmann::json;
 
@@ -173,4 +173,4 @@
                            });
 }
 
-} // namespace rhubarbtiller::platform
+} // namespace rhubarbtiller::tablestore
--- a/packages/platform/lib/errors.cpp
+++ b/packages/tablestore/lib/errors.cpp
@@ -1,8 +1,8 @@
-#include <rhubarbtiller/platform/errors.h>
+#include <rhubarbtiller/tablestore/errors.h>
 
 #include <string>
 
-namespace rhubarbtiller::platform {
+namespace rhubarbtiller::tablestore {
 
 namespace {
 
@@ -71,4 +71,4 @@
     }
 }
 
-} // namespace rhubarbtiller::platform
+} // namespace rhubarbtiller::tablestore
--- a/packages/platform/lib/httphostlist.cpp
+++ b/packages/tablestore/lib/httphostlist.cpp
@@ -1,4 +1,4 @@
-#include <rhubarbtiller/platform/httphostlist.h>
+#include <rhubarbtiller/tablestore/httphostlist.h>
 
 #include "callerrors.h"
 
@@ -7,7 +7,7 @@
 #include <optional>
 #include <utility>
 
-namespace rhubarbtiller::platform {
+namespace rhubarbtiller::tablestore {
 
 using Json = nlohmann::json;
 
@@ -85,4 +85,4 @@
     });
 }
 
-} // namespace rhubarbtiller::platform
+} // namespace rhubarbtiller::tablestore
--- a/packages/platform/lib/logitems.cpp
+++ b/packages/tablestore/lib/logitems.cpp
@@ -8,7 +8,7 @@
 #include <cstdio>
 #include <utility>
 
-namespace rhubarbtiller::platform {
+namespace rhubarbtiller::tablestore {
 
 static constexpr const char *TablesVersionAttribute = "tablesVersion";
 static constexpr const char *OperatorRevisionAttribute = "operatorRevision";
@@ -180,4 +180,4 @@
     return sha256Hex(text).substr(0, 32);
 }
 
-} // namespace rhubarbtiller::platform
+} // namespace rhubarbtiller::tablestore
--- a/packages/platform/lib/logitems.h
+++ b/packages/tablestore/lib/logitems.h
@@ -2,14 +2,14 @@
 
 #include <rhubarbtiller/base/result.h>
 #include <rhubarbtiller/config/change.h>
-#include <rhubarbtiller/platform/changelogstore.h>
-#include <rhubarbtiller/platform/tableservice.h>
+#include <rhubarbtiller/tablestore/changelogstore.h>
+#include <rhubarbtiller/tablestore/tableservice.h>
 
 #include <optional>
 #include <string>
 #include <vector>
 
-namespace rhubarbtiller::platform {
+namespace rhubarbtiller::tablestore {
 
 /// The partition of the head and of the changes.
 inline constexpr const char *LogPartition = "config";
@@ -49,4 +49,4 @@
 inline constexpr const char *SnapshotVersionAttribute = "snapshotVersion";
 inline constexpr const char *SnapshotDigestAttribute = "snapshotDigest";
 
-} // namespace rhubarbtiller::platform
+} // namespace rhubarbtiller::tablestore
--- a/packages/platform/lib/s3objectstore.cpp
+++ b/packages/tablestore/lib/s3objectstore.cpp
@@ -1,4 +1,4 @@
-#include <rhubarbtiller/platform/s3objectstore.h>
+#include <rhubarbtiller/tablestore/s3objectstore.h>
 
 #include "callerrors.h"
 
@@ -6,7 +6,7 @@
 
 #include <utility>
 
-namespace rhubarbtiller::platform {
+namespace rhubarbtiller::tablestore {
 
 // Snapshots of the target size take some megabytes; the bound keeps a wrong object from exhausting a host's memory.
 static constexpr ByteCount MaxObject{64 * 1024 * 1024};
@@ -75,4 +75,4 @@
     });
 }
 
-} // namespace rhubarbtiller::platform
+} // namespace rhubarbtiller::tablestore
--- a/packages/platform/lib/snapshots.cpp
+++ b/packages/tablestore/lib/snapshots.cpp
@@ -1,14 +1,14 @@
-#include <rhubarbtiller/platform/changelogstore.h>
+#include <rhubarbtiller/tablestore/changelogstore.h>
 
 #include "logitems.h"
 
 #include <rhubarbtiller/base/digest.h>
 #include <rhubarbtiller/config/codec.h>
-#include <rhubarbtiller/platform/errors.h>
+#include <rhubarbtiller/tablestore/errors.h>
 
 #include <utility>
 
-namespace rhubarbtiller::platform {
+namespace rhubarbtiller::tablestore {
 
 // Each repetition means that another host moved the head in between or that the answer was lost.
 static constexpr int MaxHeadUpdates = 5;
@@ -157,4 +157,4 @@
         });
 }
 
-} // namespace rhubarbtiller::platform
+} // namespace rhubarbtiller::tablestore
--- a/packages/platform/lib/tableservice.cpp
+++ b/packages/tablestore/lib/tableservice.cpp
@@ -1,6 +1,6 @@
-#include <rhubarbtiller/platform/tableservice.h>
+#include <rhubarbtiller/tablestore/tableservice.h>
 
-namespace rhubarbtiller::platform {
+namespace rhubarbtiller::tablestore {
 
 template<class Value>
 static const Value *findAttribute(const Attributes &attributes, const std::string &name)
@@ -24,4 +24,4 @@
     return findAttribute<Binary>(this->attributes, name);
 }
 
-} // namespace rhubarbtiller::platform
+} // namespace rhubarbtiller::tablestore
--- a/packages/platform/unittests/adapterstest.cpp
+++ b/packages/tablestore/unittests/adapterstest.cpp
@@ -1,8 +1,8 @@
 #include <rhubarbtiller/http/errors.h>
-#include <rhubarbtiller/platform/dynamotableservice.h>
-#include <rhubarbtiller/platform/errors.h>
-#include <rhubarbtiller/platform/httphostlist.h>
-#include <rhubarbtiller/platform/s3objectstore.h>
+#include <rhubarbtiller/tablestore/dynamotableservice.h>
+#include <rhubarbtiller/tablestore/errors.h>
+#include <rhubarbtiller/tablestore/httphostlist.h>
+#include <rhubarbtiller/tablestore/s3objectstore.h>
 #include <rhubarbtiller/testing/fakehttpclient.h>
 
 #include <doctest/doctest.h>
@@ -10,7 +10,7 @@
 #include <optional>
 
 using namespace rhubarbtiller;
-using namespace rhubarbtiller::platform;
+using namespace rhubarbtiller::tablestore;
 using rhubarbtiller::testing::FakeHttpClient;
 
 static const ServiceAccess Access{Endpoint("10.0.0.1:8000"), "us-east-1", "key:secret"};
--- a/packages/platform/unittests/changelogstoretest.cpp
+++ b/packages/tablestore/unittests/changelogstoretest.cpp
@@ -1,6 +1,6 @@
 #include <rhubarbtiller/base/random.h>
-#include <rhubarbtiller/platform/changelogstore.h>
-#include <rhubarbtiller/platform/errors.h>
+#include <rhubarbtiller/tablestore/changelogstore.h>
+#include <rhubarbtiller/tablestore/errors.h>
 #include <rhubarbtiller/testing/fakeobjectstore.h>
 #include <rhubarbtiller/testing/faketableservice.h>
 
@@ -11,7 +11,7 @@
 #include <optional>
 
 using namespace rhubarbtiller;
-using namespace rhubarbtiller::platform;
+using namespace rhubarbtiller::tablestore;
 using namespace rhubarbtiller::testing;
 
 namespace {
--- a/packages/telemetry/include/rhubarbtiller/telemetry/log.h
+++ b/packages/telemetry/include/rhubarbtiller/telemetry/log.h
@@ -37,6 +37,9 @@
 /// Precondition: \p event is a constant word. Thread safety: any thread.
 void logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields = {});
 
+/// Returns the level that a setting names, Info for unknown names. Precondition: none. Thread safety: any thread.
+LogLevel logLevelByName(std::string_view name);
+
 /// Sets the lowest level that is written. Precondition: none. Thread safety: any thread.
 void setLogLevel(LogLevel level);
 
--- a/packages/telemetry/lib/log.cpp
+++ b/packages/telemetry/lib/log.cpp
@@ -69,6 +69,17 @@
     standardErrorLogger().log(spdlog::level::info, "{}", line);
 }
 
+LogLevel logLevelByName(std::string_view name)
+{
+    if (name == "debug") {
+        return LogLevel::Debug;
+    }
+    if (name == "warning") {
+        return LogLevel::Warning;
+    }
+    return name == "error" ? LogLevel::Error : LogLevel::Info;
+}
+
 void setLogLevel(LogLevel level)
 {
     lowestLevel.store(level, std::memory_order_relaxed);
--- a/packages/testing/include/rhubarbtiller/testing/fakehostlist.h
+++ b/packages/testing/include/rhubarbtiller/testing/fakehostlist.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <rhubarbtiller/platform/hostlist.h>
+#include <rhubarbtiller/tablestore/hostlist.h>
 #include <rhubarbtiller/testing/faultinjector.h>
 
 #include <deque>
@@ -12,7 +12,7 @@
 /// The host list in memory, with faults and a lag.
 ///
 /// Thread safety: one thread.
-class FakeHostList : public platform::HostList
+class FakeHostList : public tablestore::HostList
 {
 public:
     /// Runs on the scheduler's clock, or ends calls at once and without a lag without one. Precondition: the scheduler outlives the list.
@@ -20,12 +20,12 @@
     {
     }
 
-    void readHosts(MonotonicTime deadline, platform::Handler<Result<std::vector<platform::ListedHost>>> handler) override
+    void readHosts(MonotonicTime deadline, tablestore::Handler<Result<std::vector<tablestore::ListedHost>>> handler) override
     {
-        this->injector.call<Result<std::vector<platform::ListedHost>>>(
+        this->injector.call<Result<std::vector<tablestore::ListedHost>>>(
             false,
             deadline,
-            [this]() -> Result<std::vector<platform::ListedHost>> {
+            [this]() -> Result<std::vector<tablestore::ListedHost>> {
                 while (this->versions.size() > 1 && this->versions[1].first <= this->now()) {
                     this->versions.pop_front();
                 }
@@ -35,7 +35,7 @@
     }
 
     /// Changes the actual hosts; readers see them after the lag. Precondition: none.
-    void setHosts(std::vector<platform::ListedHost> hosts)
+    void setHosts(std::vector<tablestore::ListedHost> hosts)
     {
         const MonotonicTime shownFrom = this->now() + (this->scheduler ? this->lag : Duration(0));
         // A newer list replaces older ones that would be shown after it.
@@ -62,7 +62,7 @@
 
     FaultInjector injector;
     VirtualScheduler *scheduler;
-    std::deque<std::pair<MonotonicTime, std::vector<platform::ListedHost>>> versions{{MonotonicTime::min(), {}}};
+    std::deque<std::pair<MonotonicTime, std::vector<tablestore::ListedHost>>> versions{{MonotonicTime::min(), {}}};
 };
 
 } // namespace rhubarbtiller::testing
--- a/packages/testing/include/rhubarbtiller/testing/fakeobjectstore.h
+++ b/packages/testing/include/rhubarbtiller/testing/fakeobjectstore.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <rhubarbtiller/platform/objectstore.h>
+#include <rhubarbtiller/tablestore/objectstore.h>
 #include <rhubarbtiller/testing/faultinjector.h>
 
 #include <cstdint>
@@ -13,7 +13,7 @@
 /// The object store in memory, with faults.
 ///
 /// Thread safety: one thread.
-class FakeObjectStore : public platform::ObjectStore
+class FakeObjectStore : public tablestore::ObjectStore
 {
 public:
     /// Runs on the scheduler's clock, or ends calls at once without one. Precondition: the scheduler outlives the store.
@@ -21,7 +21,7 @@
     {
     }
 
-    void readObject(platform::ObjectName name, MonotonicTime deadline, platform::Handler<Result<std::string>> handler) override
+    void readObject(tablestore::ObjectName name, MonotonicTime deadline, tablestore::Handler<Result<std::string>> handler) override
     {
         this->injector.call<Result<std::string>>(
             false,
@@ -29,14 +29,14 @@
             [this, name = std::move(name)]() -> Result<std::string> {
                 const auto found = this->objects.find(name.text());
                 if (found == this->objects.end()) {
-                    return make_error_code(platform::PlatformError::NotFound);
+                    return make_error_code(tablestore::PlatformError::NotFound);
                 }
                 return found->second;
             },
             std::move(handler));
     }
 
-    void writeObject(platform::ObjectName name, std::string content, MonotonicTime deadline, platform::Handler<Status> handler) override
+    void writeObject(tablestore::ObjectName name, std::string content, MonotonicTime deadline, tablestore::Handler<Status> handler) override
     {
         this->injector.call<Status>(
             true,
--- a/packages/testing/include/rhubarbtiller/testing/faketableservice.h
+++ b/packages/testing/include/rhubarbtiller/testing/faketableservice.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <rhubarbtiller/platform/tableservice.h>
+#include <rhubarbtiller/tablestore/tableservice.h>
 #include <rhubarbtiller/testing/faultinjector.h>
 #include <rhubarbtiller/testing/memorytable.h>
 
@@ -14,7 +14,7 @@
 /// The table service in memory, with faults.
 ///
 /// Thread safety: one thread.
-class FakeTableService : public platform::TableService
+class FakeTableService : public tablestore::TableService
 {
 public:
     /// Runs on the scheduler's clock, or ends calls at once without one. Precondition: the scheduler outlives the service.
@@ -22,35 +22,35 @@
     {
     }
 
-    void readItem(platform::ItemKey key, MonotonicTime deadline, platform::Handler<Result<platform::Item>> handler) override
+    void readItem(tablestore::ItemKey key, MonotonicTime deadline, tablestore::Handler<Result<tablestore::Item>> handler) override
     {
         ++this->reads;
-        this->injector.call<Result<platform::Item>>(
+        this->injector.call<Result<tablestore::Item>>(
             false,
             deadline,
-            [this, key = std::move(key)]() -> Result<platform::Item> {
+            [this, key = std::move(key)]() -> Result<tablestore::Item> {
                 if (const auto *item = this->items.find(key)) {
                     return *item;
                 }
-                return make_error_code(platform::PlatformError::NotFound);
+                return make_error_code(tablestore::PlatformError::NotFound);
             },
             std::move(handler));
     }
 
-    void queryItems(platform::KeyRange range, MonotonicTime deadline, platform::Handler<Result<platform::ItemPage>> handler) override
+    void queryItems(tablestore::KeyRange range, MonotonicTime deadline, tablestore::Handler<Result<tablestore::ItemPage>> handler) override
     {
         ++this->reads;
         range.maxItems = std::min(range.maxItems, this->maxPage);
-        this->injector.call<Result<platform::ItemPage>>(
+        this->injector.call<Result<tablestore::ItemPage>>(
             false,
             deadline,
-            [this, range = std::move(range)]() -> Result<platform::ItemPage> {
+            [this, range = std::move(range)]() -> Result<tablestore::ItemPage> {
                 return this->items.query(range);
             },
             std::move(handler));
     }
 
-    void writeTransaction(platform::Transaction transaction, MonotonicTime deadline, platform::Handler<Status> handler) override
+    void writeTransaction(tablestore::Transaction transaction, MonotonicTime deadline, tablestore::Handler<Status> handler) override
     {
         ++this->writes;
         if (auto action = std::exchange(this->beforeNextWrite, nullptr)) {
@@ -58,7 +58,7 @@
         }
         if (this->conflictNextWrites > 0) {
             --this->conflictNextWrites;
-            handler(platform::PlatformError::TransactionConflict);
+            handler(tablestore::PlatformError::TransactionConflict);
             return;
         }
         if (this->refuseNextWrites > 0) {
@@ -95,7 +95,7 @@
     std::uint32_t conflictNextWrites = 0;
     /// Writes that end at once with \c refusal and without effect.
     std::uint32_t refuseNextWrites = 0;
-    Status refusal = platform::PlatformError::Throttled;
+    Status refusal = tablestore::PlatformError::Throttled;
     /// The most items in one page.
     std::uint32_t maxPage = 1000;
     std::uint64_t reads = 0;
--- a/packages/testing/include/rhubarbtiller/testing/faultinjector.h
+++ b/packages/testing/include/rhubarbtiller/testing/faultinjector.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <rhubarbtiller/platform/errors.h>
-#include <rhubarbtiller/platform/tableservice.h>
+#include <rhubarbtiller/tablestore/errors.h>
+#include <rhubarbtiller/tablestore/tableservice.h>
 #include <rhubarbtiller/testing/servicefaults.h>
 #include <rhubarbtiller/testing/virtualscheduler.h>
 
@@ -24,13 +24,13 @@
 
     /// Runs \p effect, which gives the outcome, and calls \p handler with the outcome or an error.
     template<class Outcome>
-    void call(bool isWrite, MonotonicTime deadline, std::function<Outcome()> effect, platform::Handler<Outcome> handler)
+    void call(bool isWrite, MonotonicTime deadline, std::function<Outcome()> effect, tablestore::Handler<Outcome> handler)
     {
         switch (this->faults.outage) {
         case OutageMode::Refuse:
         case OutageMode::Reset:
             this->schedule(this->faults.delay, [handler = std::move(handler)] {
-                handler(make_error_code(platform::PlatformError::Unavailable));
+                handler(make_error_code(tablestore::PlatformError::Unavailable));
             });
             return;
         case OutageMode::Silent:
@@ -86,10 +86,10 @@
     }
 
     template<class Outcome>
-    void timeOut(MonotonicTime deadline, platform::Handler<Outcome> handler)
+    void timeOut(MonotonicTime deadline, tablestore::Handler<Outcome> handler)
     {
         auto action = [handler = std::move(handler)] {
-            handler(make_error_code(platform::PlatformError::Timeout));
+            handler(make_error_code(tablestore::PlatformError::Timeout));
         };
         if (!this->scheduler) {
             action();
--- a/packages/testing/include/rhubarbtiller/testing/memorytable.h
+++ b/packages/testing/include/rhubarbtiller/testing/memorytable.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <rhubarbtiller/platform/errors.h>
-#include <rhubarbtiller/platform/tableservice.h>
+#include <rhubarbtiller/tablestore/errors.h>
+#include <rhubarbtiller/tablestore/tableservice.h>
 
 #include <map>
 #include <set>
@@ -17,16 +17,16 @@
 {
 public:
     /// Returns the item, or nullptr. Precondition: none.
-    const platform::Item *find(const platform::ItemKey &key) const
+    const tablestore::Item *find(const tablestore::ItemKey &key) const
     {
         const auto found = this->items.find(key);
         return found == this->items.end() ? nullptr : &found->second;
     }
 
     /// Returns the items of a range in order. Precondition: none.
-    platform::ItemPage query(const platform::KeyRange &range) const
+    tablestore::ItemPage query(const tablestore::KeyRange &range) const
     {
-        platform::ItemPage page;
+        tablestore::ItemPage page;
         for (auto at = this->items.lower_bound({range.partition, range.first}); at != this->items.end(); ++at) {
             if (at->first.partition != range.partition || at->first.sort > range.last) {
                 break;
@@ -41,7 +41,7 @@
     }
 
     /// Executes a transaction all or nothing; a token that was executed before succeeds without effect.
-    Status write(const platform::Transaction &transaction)
+    Status write(const tablestore::Transaction &transaction)
     {
         if (this->executedTokens.contains(transaction.clientRequestToken)) {
             return {};
@@ -53,7 +53,7 @@
                 },
                 write);
             if (!holds) {
-                return platform::PlatformError::ConditionFailed;
+                return tablestore::PlatformError::ConditionFailed;
             }
         }
         for (const auto &write : transaction.writes) {
@@ -83,28 +83,28 @@
     }
 
 private:
-    static const platform::ItemKey &keyOf(const platform::PutItem &put)
+    static const tablestore::ItemKey &keyOf(const tablestore::PutItem &put)
     {
         return put.item.key;
     }
 
-    static const platform::ItemKey &keyOf(const platform::UpdateItem &update)
+    static const tablestore::ItemKey &keyOf(const tablestore::UpdateItem &update)
     {
         return update.key;
     }
 
-    static const platform::ItemKey &keyOf(const platform::DeleteItem &deletion)
+    static const tablestore::ItemKey &keyOf(const tablestore::DeleteItem &deletion)
     {
         return deletion.key;
     }
 
-    bool conditionHolds(const platform::ItemKey &key, const platform::Condition &condition) const
+    bool conditionHolds(const tablestore::ItemKey &key, const tablestore::Condition &condition) const
     {
-        const platform::Item *item = this->find(key);
-        if (std::holds_alternative<platform::ItemAbsent>(condition)) {
+        const tablestore::Item *item = this->find(key);
+        if (std::holds_alternative<tablestore::ItemAbsent>(condition)) {
             return item == nullptr;
         }
-        if (const auto *equals = std::get_if<platform::AttributeEquals>(&condition)) {
+        if (const auto *equals = std::get_if<tablestore::AttributeEquals>(&condition)) {
             if (!item) {
                 return false;
             }
@@ -114,12 +114,12 @@
         return true;
     }
 
-    void apply(const platform::PutItem &put)
+    void apply(const tablestore::PutItem &put)
     {
         this->items[put.item.key] = put.item;
     }
 
-    void apply(const platform::UpdateItem &update)
+    void apply(const tablestore::UpdateItem &update)
     {
         auto &item = this->items[update.key];
         item.key = update.key;
@@ -128,12 +128,12 @@
         }
     }
 
-    void apply(const platform::DeleteItem &deletion)
+    void apply(const tablestore::DeleteItem &deletion)
     {
         this->items.erase(deletion.key);
     }
 
-    std::map<platform::ItemKey, platform::Item> items;
+    std::map<tablestore::ItemKey, tablestore::Item> items;
     std::set<std::string> executedTokens;
     std::size_t writes = 0;
 };
--- a/packages/testing/lib/dynamoendpoint.cpp
+++ b/packages/testing/lib/dynamoendpoint.cpp
@@ -49,7 +49,7 @@
 }
 
 // Binary values are kept in their base64 form, because the endpoint only compares and returns them.
-static platform::AttributeValue decodeValue(const Json &json)
+static tablestore::AttributeValue decodeValue(const Json &json)
 {
     if (!json.is_object() || json.size() != 1) {
         throw InvalidCall("an attribute value must have one type");
@@ -71,12 +71,12 @@
         if (!isBase64(text)) {
             throw InvalidCall("a binary value must be base64");
         }
-        return platform::Binary{std::move(text)};
+        return tablestore::Binary{std::move(text)};
     }
     throw InvalidCall("unknown attribute type");
 }
 
-static Json encodeValue(const platform::AttributeValue &value)
+static Json encodeValue(const tablestore::AttributeValue &value)
 {
     if (const auto *text = std::get_if<std::string>(&value)) {
         return {{"S", *text}};
@@ -84,7 +84,7 @@
     if (const auto *number = std::get_if<std::int64_t>(&value)) {
         return {{"N", std::to_string(*number)}};
     }
-    return {{"B", std::get<platform::Binary>(value).bytes}};
+    return {{"B", std::get<tablestore::Binary>(value).bytes}};
 }
 
 static std::string decodeString(const Json &json)
@@ -97,18 +97,18 @@
     return *text;
 }
 
-static platform::ItemKey decodeKey(const Json &json)
+static tablestore::ItemKey decodeKey(const Json &json)
 {
-    platform::ItemKey key{decodeString(json.at("pk")), decodeString(json.at("sk"))};
+    tablestore::ItemKey key{decodeString(json.at("pk")), decodeString(json.at("sk"))};
     if (key.partition.empty() || key.sort.empty()) {
         throw InvalidCall("a key attribute must not be empty");
     }
     return key;
 }
 
-static platform::Item decodeItem(const Json &json)
+static tablestore::Item decodeItem(const Json &json)
 {
-    platform::Item item;
+    tablestore::Item item;
     item.key = decodeKey(json);
     for (const auto &[name, value] : json.items()) {
         if (name != "pk" && name != "sk") {
@@ -118,7 +118,7 @@
     return item;
 }
 
-static Json encodeItem(const platform::Item &item)
+static Json encodeItem(const tablestore::Item &item)
 {
     Json json = {{"pk", {{"S", item.key.partition}}}, {"sk", {{"S", item.key.sort}}}};
     for (const auto &[name, value] : item.attributes) {
@@ -158,7 +158,7 @@
     return token;
 }
 
-static platform::AttributeValue resolveValue(const Json &call, const std::string &token)
+static tablestore::AttributeValue resolveValue(const Json &call, const std::string &token)
 {
     if (token.rfind(':', 0) != 0) {
         throw InvalidCall("a value must be a placeholder");
@@ -166,24 +166,24 @@
     return decodeValue(call.at("ExpressionAttributeValues").at(token));
 }
 
-static platform::Condition decodeCondition(const Json &call)
+static tablestore::Condition decodeCondition(const Json &call)
 {
     if (!call.contains("ConditionExpression")) {
         return std::monostate{};
     }
     const auto tokens = splitTokens(call.at("ConditionExpression").get<std::string>());
     if (tokens.size() == 4 && tokens[0] == "attribute_not_exists" && resolveName(call, tokens[2]) == "pk") {
-        return platform::ItemAbsent{};
+        return tablestore::ItemAbsent{};
     }
     if (tokens.size() == 3 && tokens[1] == "=") {
-        return platform::AttributeEquals{resolveName(call, tokens[0]), resolveValue(call, tokens[2])};
+        return tablestore::AttributeEquals{resolveName(call, tokens[0]), resolveValue(call, tokens[2])};
     }
     throw InvalidCall("condition is not understood");
 }
 
-static platform::UpdateItem decodeUpdate(const Json &call)
+static tablestore::UpdateItem decodeUpdate(const Json &call)
 {
-    platform::UpdateItem update{decodeKey(call.at("Key")), {}, decodeCondition(call)};
+    tablestore::UpdateItem update{decodeKey(call.at("Key")), {}, decodeCondition(call)};
     const auto tokens = splitTokens(call.at("UpdateExpression").get<std::string>());
     if (tokens.size() < 4 || tokens.size() % 4 != 0 || tokens[0] != "SET") {
         throw InvalidCall("update is not understood");
@@ -232,7 +232,7 @@
         || resolveName(call, tokens[4]) != "sk" || tokens[5] != "BETWEEN" || tokens[7] != "AND") {
         throw InvalidCall("key condition is not understood");
     }
-    platform::KeyRange range;
+    tablestore::KeyRange range;
     const auto text = [&](const std::string &token) {
         return decodeString(call.at("ExpressionAttributeValues").at(token));
     };
@@ -256,20 +256,20 @@
     return jsonResponse(200, response);
 }
 
-static platform::Transaction decodeTransaction(const Json &call)
+static tablestore::Transaction decodeTransaction(const Json &call)
 {
-    platform::Transaction transaction;
+    tablestore::Transaction transaction;
     transaction.clientRequestToken = call.value("ClientRequestToken", "");
     if (transaction.clientRequestToken.size() > 36) {
         throw InvalidCall("the client request token is too long");
     }
-    std::set<platform::ItemKey> keys;
+    std::set<tablestore::ItemKey> keys;
     for (const auto &element : call.at("TransactItems")) {
         requireTable(element.front());
-        platform::ItemKey key;
+        tablestore::ItemKey key;
         if (element.contains("Put")) {
             const auto &put = element.at("Put");
-            platform::PutItem write{decodeItem(put.at("Item")), decodeCondition(put)};
+            tablestore::PutItem write{decodeItem(put.at("Item")), decodeCondition(put)};
             key = write.item.key;
             transaction.writes.emplace_back(std::move(write));
         } else if (element.contains("Update")) {
@@ -278,7 +278,7 @@
             transaction.writes.emplace_back(std::move(write));
         } else if (element.contains("Delete")) {
             const auto &deletion = element.at("Delete");
-            platform::DeleteItem write{decodeKey(deletion.at("Key")), decodeCondition(deletion)};
+            tablestore::DeleteItem write{decodeKey(deletion.at("Key")), decodeCondition(deletion)};
             key = write.key;
             transaction.writes.emplace_back(std::move(write));
         } else {
--- a/packages/testing/unittests/dynamoendpointtest.cpp
+++ b/packages/testing/unittests/dynamoendpointtest.cpp
@@ -1,6 +1,6 @@
-#include <rhubarbtiller/platform/changelogstore.h>
-#include <rhubarbtiller/platform/dynamotableservice.h>
-#include <rhubarbtiller/platform/errors.h>
+#include <rhubarbtiller/tablestore/changelogstore.h>
+#include <rhubarbtiller/tablestore/dynamotableservice.h>
+#include <rhubarbtiller/tablestore/errors.h>
 #include <rhubarbtiller/testing/dynamoendpoint.h>
 #include <rhubarbtiller/testing/fakehttpclient.h>
 #include <rhubarbtiller/testing/fakeobjectstore.h>
@@ -10,7 +10,7 @@
 #include <optional>
 
 using namespace rhubarbtiller;
-using namespace rhubarbtiller::platform;
+using namespace rhubarbtiller::tablestore;
 using namespace rhubarbtiller::testing;
 
 namespace {
--- a/packages/testing/unittests/fakestest.cpp
+++ b/packages/testing/unittests/fakestest.cpp
@@ -5,7 +5,7 @@
 #include <optional>
 
 using namespace rhubarbtiller;
-using namespace rhubarbtiller::platform;
+using namespace rhubarbtiller::tablestore;
 using namespace rhubarbtiller::testing;
 
 static std::vector<std::string> namesIn(FakeHostList &list, VirtualScheduler *scheduler)
--- a/packages/testing/unittests/platformoverhttptest.cpp
+++ b/packages/testing/unittests/platformoverhttptest.cpp
@@ -1,9 +1,9 @@
 #include <rhubarbtiller/http/curlhttpclient.h>
-#include <rhubarbtiller/platform/changelogstore.h>
-#include <rhubarbtiller/platform/dynamotableservice.h>
-#include <rhubarbtiller/platform/errors.h>
-#include <rhubarbtiller/platform/httphostlist.h>
-#include <rhubarbtiller/platform/s3objectstore.h>
+#include <rhubarbtiller/tablestore/changelogstore.h>
+#include <rhubarbtiller/tablestore/dynamotableservice.h>
+#include <rhubarbtiller/tablestore/errors.h>
+#include <rhubarbtiller/tablestore/httphostlist.h>
+#include <rhubarbtiller/tablestore/s3objectstore.h>
 #include <rhubarbtiller/testing/platformstandin.h>
 
 #include <doctest/doctest.h>
@@ -11,7 +11,7 @@
 #include <optional>
 
 using namespace rhubarbtiller;
-using namespace rhubarbtiller::platform;
+using namespace rhubarbtiller::tablestore;
 using namespace rhubarbtiller::testing;
 
 namespace {
