Keep an organisation's rate over all hosts in the rule's own window

Ruled out: lost datagrams (none reported unsent, the same pairs always missed). Change: admissions are counted in the window of the rule, what is left is shared between two reports, hosts of other domains are known by their own claim and by mention, the slack is split over entry and standby hosts, one host a domain follows the store, a cut-off host answers no address question.

--- a/packages/balance/include/rhubarbtiller/balance/hostdirectory.h
+++ b/packages/balance/include/rhubarbtiller/balance/hostdirectory.h
@@ -20,6 +20,10 @@
     /// Later runs of a process have larger numbers; hosts that have run longest come first.
     Incarnation incarnation;
     bool isLeaving = false;
+    /// Whether it counts itself among the entry hosts of its failure domain.
+    bool isEntry = false;
+    /// Whether it handles requests of organisations, as an entry host or for callers with an old answer.
+    bool isServing = false;
     /// Within this time the host says something again.
     Duration beatInterval = std::chrono::milliseconds(250);
 
@@ -28,7 +32,8 @@
 
 /// The hosts that live, as this host hears, and which of them callers are told to use.
 ///
-/// In each failure domain the hosts that have run longest are entry hosts; the others stand by. Few entry hosts see enough
+/// In each failure domain the hosts that have run longest are entry hosts; the others stand by. The hosts of a domain find
+/// out among themselves, and other domains take their word. Few entry hosts see enough
 /// requests each to find a failing backend server after one or two failures. Thread safety: one thread.
 class HostDirectory
 {
@@ -39,8 +44,10 @@
     /// Takes what a host said of itself, directly. Precondition: \p now does not go back.
     void onBeat(const HostRecord &record, MonotonicTime now);
 
-    /// Notes a host that another source named; it counts as living only once it is heard. Precondition: none.
-    void onMentioned(const HostRecord &record);
+    /// Notes a host that another source named; it counts as living only once it is heard.
+    ///
+    /// Precondition: \p now does not go back.
+    void onMentioned(const HostRecord &record, MonotonicTime now);
 
     /// Marks this host as leaving. Precondition: none.
     void beginLeaving();
@@ -56,6 +63,12 @@
     /// Returns the entry hosts of all failure domains. Precondition: none.
     std::vector<const HostRecord *> allEntryHosts(MonotonicTime now) const;
 
+    /// Returns how many other hosts live. Precondition: none.
+    std::size_t livingPeers(MonotonicTime now) const;
+
+    /// Returns the other hosts that handle requests and need reports. Precondition: none.
+    std::vector<const HostRecord *> servingPeers(MonotonicTime now) const;
+
     /// Returns the position of this host among the living hosts of its domain; beyond all if it is leaving.
     ///
     /// Precondition: none.
@@ -67,9 +80,6 @@
     /// Returns every host that was heard or mentioned, except those that are silent for long. Precondition: none.
     std::vector<const HostRecord *> knownHosts(MonotonicTime now) const;
 
-    /// Returns the hosts that were mentioned and not heard yet. Precondition: none.
-    std::vector<const HostRecord *> unheardHosts() const;
-
     const HostRecord &own() const
     {
         return this->self;
@@ -86,10 +96,13 @@
         HostRecord record;
         /// Unset until the host was heard itself.
         MonotonicTime livesUntil{};
+        MonotonicTime mentionedUntil{};
         MonotonicTime forgottenAt{};
         bool isHeard = false;
     };
 
+    std::vector<const HostRecord *> entryHostsIn(const FailureDomainId &domain, MonotonicTime now) const;
+
     HostRecord self;
     const unsigned perDomain;
     std::map<HostId, Known> hosts;
--- a/packages/balance/include/rhubarbtiller/balance/organisationquota.h
+++ b/packages/balance/include/rhubarbtiller/balance/organisationquota.h
@@ -1,13 +1,25 @@
 #pragma once
 
-#include <rhubarbtiller/balance/tokenbucket.h>
+#include <rhubarbtiller/base/clock.h>
 #include <rhubarbtiller/catalog/catalog.h>
 
+#include <array>
 #include <map>
 #include <unordered_map>
 
 namespace rhubarbtiller::balance {
 
+/// Whether a request may run, with the figures that decided.
+struct QuotaDecision
+{
+    /// When to come again; unset if the request is admitted.
+    std::optional<Duration> retryAfter;
+    /// Admissions of the fleet in the window, as far as they are heard.
+    double used = 0;
+    /// Admissions that this host may count up to; 0 has no bound.
+    double limit = 0;
+};
+
 /// What one host admitted for an organisation since it started.
 struct AdmissionCount
 {
@@ -15,39 +27,70 @@
     std::uint64_t admitted = 0;
 };
 
-/// Keeps each organisation to its rate and burst over all hosts.
+/// Keeps each organisation to its rate and burst over all hosts: in any window no more than rate x window + burst.
 ///
-/// Each host holds a copy of the whole bucket, and debits what the other hosts report. A host that does not hear all
-/// others fills its copy only at the share of the hosts that it hears, so that the parts of a partitioned fleet together
+/// Each host counts the admissions of the whole fleet: its own, and those that the other hosts report. A host that does
+/// not hear all others keeps to the share of the hosts that it hears, so that the parts of a partitioned fleet together
 /// stay within the rate. Thread safety: one thread.
 class OrganisationQuota
 {
 public:
+    /// Precondition: \p windowLength is above 0.
+    explicit OrganisationQuota(Duration windowLength);
+
     /// Takes the rates of a new catalog. Precondition: \p now does not go back.
     void configure(const catalog::Catalog &catalog, MonotonicTime now);
 
-    /// Sets the share of the entry hosts that are heard, 0 to 1, this host included. Precondition: none.
-    void setHeardShare(double share);
+    /// Sets the share of the rate that this host and the hosts that it hears may use, 0 to 1, and their number.
+    ///
+    /// Precondition: \p servingHosts is above 0.
+    void setHeard(double share, std::size_t servingHosts);
+
+    /// Forgets what was heard: this host got no reports until now. Precondition: \p now does not go back.
+    void assumeUnknown(MonotonicTime now);
 
     /// Admits a request or says after which time to come again. Precondition: \p now does not go back.
-    std::optional<Duration> admit(const OrganisationId &organisation, MonotonicTime now);
+    QuotaDecision admit(const OrganisationId &organisation, MonotonicTime now);
 
     /// Takes an admission back whose request did not run. Precondition: it was admitted here.
-    void takeBack(const OrganisationId &organisation);
+    void takeBack(const OrganisationId &organisation, MonotonicTime now);
+
+    /// Returns whether an organisation is so close to its limit that the other hosts should hear at once.
+    ///
+    /// Precondition: none.
+    bool hasUrgentReport() const
+    {
+        return this->isUrgent;
+    }
 
     /// Returns what this host admitted for each organisation that was admitted since the last call. Precondition: none.
     std::vector<AdmissionCount> takeReport();
 
-    /// Debits what another host admitted since its last report. Precondition: none.
-    void onReport(const HostId &host, Incarnation incarnation, const std::vector<AdmissionCount> &counts);
+    /// Counts what another host admitted since its last report. Precondition: \p now does not go back.
+    void onReport(const HostId &host, Incarnation incarnation, const std::vector<AdmissionCount> &counts, MonotonicTime now);
 
 private:
+    /// Slices of one window, and one more for the slice that has begun to leave it.
+    static constexpr std::size_t WindowSlices = 25;
+    static constexpr std::size_t SliceCount = WindowSlices + 1;
+
+    struct Slice
+    {
+        std::int64_t number = -1;
+        double admitted = 0;
+    };
+
     struct Account
     {
-        TokenBucket bucket;
-        bool isLimited = false;
+        std::array<Slice, SliceCount> slices;
+        /// Admissions of the fleet in one window; 0 has no bound.
+        double limit = 0;
+        /// What others may have admitted before this host could hear of it; it fades over one window.
+        double assumed = 0;
+        MonotonicTime assumedAt{};
         std::uint64_t admitted = 0;
-        bool hasNews = false;
+        /// Admissions that the other hosts do not know of yet.
+        double unreported = 0;
     };
 
     struct RemoteCounts
@@ -56,9 +99,15 @@
         std::unordered_map<OrganisationId, std::uint64_t> admitted;
     };
 
+    Slice &currentSlice(Account &account, MonotonicTime now) const;
+    double admittedInWindow(const Account &account, MonotonicTime now) const;
+
+    Duration window;
     std::unordered_map<OrganisationId, Account> accounts;
     std::map<HostId, RemoteCounts> remotes;
     double heardShare = 1;
+    double hosts = 1;
+    bool isUrgent = false;
 };
 
 } // namespace rhubarbtiller::balance
--- a/packages/balance/include/rhubarbtiller/balance/retrybudget.h
+++ b/packages/balance/include/rhubarbtiller/balance/retrybudget.h
@@ -23,8 +23,10 @@
 class RetryBudget
 {
 public:
-    /// Precondition: \p entryHosts is above 0.
-    RetryBudget(const RetryBudgetBounds &bounds, unsigned entryHosts);
+    explicit RetryBudget(const RetryBudgetBounds &bounds);
+
+    /// Sets the part of the fleet's slack that this host may use, 0 to 1. Precondition: none.
+    void setSlackShare(double share);
 
     /// Counts a request of a caller. Precondition: \p now does not go back.
     void onRequest(const catalog::ServiceName &service, MonotonicTime now);
@@ -47,7 +49,8 @@
     Slice &currentSlice(Slices &slices, MonotonicTime now) const;
 
     double ratio;
-    double ownSlack;
+    double slack;
+    double slackShare = 0;
     Duration sliceLength;
     std::unordered_map<catalog::ServiceName, Slices> services;
 };
--- a/packages/balance/lib/hostdirectory.cpp
+++ b/packages/balance/lib/hostdirectory.cpp
@@ -9,6 +9,9 @@
 /// Beats that may be lost before a host counts as dead.
 static constexpr int MissedBeats = 4;
 
+/// A mention stands for this long.
+static constexpr Duration MentionValidity = std::chrono::seconds(3);
+
 /// A host that was not heard for this long is no longer sent anything.
 static constexpr Duration ForgetTime = std::chrono::seconds(60);
 
@@ -32,12 +35,20 @@
     known.isHeard = true;
 }
 
-void HostDirectory::onMentioned(const HostRecord &record)
+void HostDirectory::onMentioned(const HostRecord &record, MonotonicTime now)
 {
     if (record.id == this->self.id) {
         return;
     }
-    this->hosts.try_emplace(record.id, Known{record, {}, {}, false});
+    const auto [entry, isNew] = this->hosts.try_emplace(record.id);
+    auto &known = entry->second;
+    // What a host says itself is better than what others say of it.
+    if (!known.isHeard || now >= known.livesUntil) {
+        known.record = record;
+        known.isHeard = false;
+        known.forgottenAt = now + ForgetTime;
+    }
+    known.mentionedUntil = now + MentionValidity;
 }
 
 void HostDirectory::beginLeaving()
@@ -63,10 +74,23 @@
 }
 
 std::vector<const HostRecord *> HostDirectory::entryHostsFor(const FailureDomainId &domain, MonotonicTime now) const
+{
+    auto entryHosts = this->entryHostsIn(domain, now);
+    return entryHosts.empty() ? this->allEntryHosts(now) : entryHosts;
+}
+
+std::vector<const HostRecord *> HostDirectory::entryHostsIn(const FailureDomainId &domain, MonotonicTime now) const
 {
     auto living = this->livingHosts(domain, now);
-    if (living.empty()) {
-        return this->allEntryHosts(now);
+    if (domain != this->self.failureDomain) {
+        const auto claims = std::count_if(living.begin(), living.end(), [](const HostRecord *host) {
+            return host->isEntry;
+        });
+        if (claims > 0) {
+            std::erase_if(living, [](const HostRecord *host) {
+                return !host->isEntry;
+            });
+        }
     }
     if (living.size() > this->perDomain) {
         living.resize(this->perDomain);
@@ -82,13 +106,32 @@
     }
     std::vector<const HostRecord *> entryHosts;
     for (const auto &domain : domains) {
-        const auto living = this->livingHosts(domain, now);
-        const auto count = std::min<std::size_t>(living.size(), this->perDomain);
-        entryHosts.insert(entryHosts.end(), living.begin(), living.begin() + static_cast<std::ptrdiff_t>(count));
+        const auto inDomain = this->entryHostsIn(domain, now);
+        entryHosts.insert(entryHosts.end(), inDomain.begin(), inDomain.end());
     }
     return entryHosts;
 }
 
+std::size_t HostDirectory::livingPeers(MonotonicTime now) const
+{
+    return static_cast<std::size_t>(std::count_if(this->hosts.begin(), this->hosts.end(), [now](const auto &entry) {
+        return entry.second.isHeard && now < entry.second.livesUntil;
+    }));
+}
+
+std::vector<const HostRecord *> HostDirectory::servingPeers(MonotonicTime now) const
+{
+    auto peers = this->allEntryHosts(now);
+    std::erase(peers, &this->self);
+    for (const auto &[id, known] : this->hosts) {
+        const bool isCurrent = (known.isHeard && now < known.livesUntil) || now < known.mentionedUntil;
+        if (isCurrent && known.record.isServing && std::find(peers.begin(), peers.end(), &known.record) == peers.end()) {
+            peers.push_back(&known.record);
+        }
+    }
+    return peers;
+}
+
 std::size_t HostDirectory::ownRank(MonotonicTime now) const
 {
     const auto living = this->livingHosts(this->self.failureDomain, now);
@@ -105,22 +148,11 @@
 {
     std::vector<const HostRecord *> known;
     for (const auto &[id, entry] : this->hosts) {
-        if (!entry.isHeard || now < entry.forgottenAt) {
+        if (now < entry.forgottenAt) {
             known.push_back(&entry.record);
         }
     }
     return known;
 }
 
-std::vector<const HostRecord *> HostDirectory::unheardHosts() const
-{
-    std::vector<const HostRecord *> unheard;
-    for (const auto &[id, entry] : this->hosts) {
-        if (!entry.isHeard) {
-            unheard.push_back(&entry.record);
-        }
-    }
-    return unheard;
-}
-
 } // namespace rhubarbtiller::balance
--- a/packages/balance/lib/retrybudget.cpp
+++ b/packages/balance/lib/retrybudget.cpp
@@ -7,10 +7,15 @@
 /// The part of the budget that is used; the rest is for requests whose counts move between windows.
 static constexpr double UsedPart = 0.9;
 
-RetryBudget::RetryBudget(const RetryBudgetBounds &bounds, unsigned entryHosts)
-    : ratio(bounds.ratio * UsedPart), ownSlack(bounds.slack * UsedPart / entryHosts), sliceLength(bounds.window / SliceCount)
+RetryBudget::RetryBudget(const RetryBudgetBounds &bounds)
+    : ratio(bounds.ratio * UsedPart), slack(bounds.slack * UsedPart), sliceLength(bounds.window / SliceCount)
 {
-    assert(entryHosts > 0 && "a fleet has at least one entry host");
+}
+
+void RetryBudget::setSlackShare(double share)
+{
+    assert(share >= 0 && share <= 1 && "a share lies between 0 and 1");
+    this->slackShare = share;
 }
 
 RetryBudget::Slice &RetryBudget::currentSlice(Slices &slices, MonotonicTime now) const
@@ -40,7 +45,7 @@
             repeats += slice.repeats;
         }
     }
-    if (repeats + 1 > this->ratio * requests + this->ownSlack) {
+    if (repeats + 1 > this->ratio * requests + this->slack * this->slackShare) {
         return false;
     }
     ++current.repeats;
--- a/packages/gateway/fleet.thrift
+++ b/packages/gateway/fleet.thrift
@@ -16,6 +16,10 @@
     10: i64 serversVersion
     // Time since the store last answered this host; below 0 if it does not read the store itself.
     11: i32 storeContactAgeMs
+    // Whether it handles requests of organisations.
+    12: bool isServing
+    // Whether it counts itself among the entry hosts of its failure domain.
+    13: bool isEntry
 }
 
 struct ServerEvidence {
--- a/packages/gateway/include/rhubarbtiller/gateway/settings.h
+++ b/packages/gateway/include/rhubarbtiller/gateway/settings.h
@@ -31,6 +31,8 @@
     /// Time from the signal to stop until the process is killed.
     std::chrono::milliseconds stopGrace{6000};
     balance::RetryBudgetBounds retryBudget;
+    /// The time over which an organisation's admissions are counted.
+    Duration quotaWindow = std::chrono::seconds(5);
     std::string logLevel = "info";
 };
 
--- a/packages/gateway/lib/gatewayprocess.cpp
+++ b/packages/gateway/lib/gatewayprocess.cpp
@@ -162,7 +162,8 @@
     , storeClient(http::makeCurlHttpClient(controlContext, clock))
     , platform(factory(settings, *storeClient, clock))
     , directory(ownRecord(settings, clock), settings.entryHostsPerDomain)
-    , retries(settings.retryBudget, settings.entryHostsPerDomain * static_cast<unsigned>(settings.failureDomains.size()))
+    , quota(settings.quotaWindow)
+    , retries(settings.retryBudget)
     , backend(makeBackendClient(servingContext, clock, *platform.dialect))
     , flow{servingContext,
            clock,
@@ -180,6 +181,7 @@
                this->link.onEvidence();
            },
            0,
+           {},
            {}}
     , sync({controlContext,
             clock,
@@ -207,6 +209,10 @@
                 asio::post(this->control, [this, standing] {
                     this->sync.onPeer(standing);
                 });
+            },
+            retries,
+            [this] {
+                return this->flow.lastServedAt;
             }})
     , callerHandler(flow)
     , directoryHandler([this](const http::HttpRequest &request) {
@@ -306,7 +312,7 @@
         }
         asio::post(this->serving, [this, records = std::move(records)] {
             for (const auto &record : records) {
-                this->directory.onMentioned(record);
+                this->directory.onMentioned(record, this->clock.now());
             }
             this->link.announce();
         });
@@ -341,6 +347,11 @@
     if (!domain) {
         return statusOnly(404);
     }
+    if (this->link.isCutOff()) {
+        // Others may know better which hosts callers can reach.
+        logEvent(LogLevel::Info, "address_question_refused", {{"reason", "cut_off"}, {"failure_domain", domain->text()}});
+        return statusOnly(503);
+    }
     const auto now = this->clock.now();
     std::vector<Endpoint> addresses;
     for (const auto *const host : this->directory.entryHostsFor(*domain, now)) {
--- a/packages/gateway/lib/peerlink.cpp
+++ b/packages/gateway/lib/peerlink.cpp
@@ -33,6 +33,21 @@
 /// Hosts that are asked in each search of a failure domain.
 static constexpr std::size_t SearchFanout = 2;
 
+/// A host counts as serving for this long after a request.
+static constexpr Duration ServingMemory = std::chrono::seconds(3);
+
+/// A host that the store has not answered for this long, and that hears no other host, is taken to be cut off.
+static constexpr Duration CutOffTime = std::chrono::milliseconds(2500);
+
+/// After this time callers have found the hosts that replace one which is cut off.
+static constexpr Duration ReplacementTime = std::chrono::seconds(2);
+
+/// The part of the fleet's retry slack that the entry hosts share; the rest is for hosts that standby.
+static constexpr double EntrySlackPart = 0.75;
+
+/// How often an entry host names those of the other failure domains to its own.
+static constexpr Duration MentionInterval = std::chrono::seconds(1);
+
 /// Hosts that one datagram mentions.
 static constexpr std::size_t MaxMentioned = 8;
 
@@ -46,6 +61,8 @@
     record.controlAddress = Endpoint(beat.controlAddress);
     record.incarnation = Incarnation(static_cast<std::uint64_t>(beat.incarnation));
     record.isLeaving = beat.isLeaving;
+    record.isServing = beat.isServing;
+    record.isEntry = beat.isEntry;
     record.beatInterval = milliseconds(beat.beatIntervalMs);
     return record;
 }
@@ -60,6 +77,8 @@
     beat.controlAddress = record.controlAddress.text();
     beat.incarnation = static_cast<std::int64_t>(record.incarnation.count());
     beat.isLeaving = record.isLeaving;
+    beat.isServing = record.isServing;
+    beat.isEntry = record.isEntry;
     beat.beatIntervalMs = static_cast<std::int32_t>(std::chrono::duration_cast<milliseconds>(record.beatInterval).count());
     beat.storeContactAgeMs = -1;
     return beat;
@@ -133,7 +152,7 @@
     const auto record = recordOf(datagram->sender);
     this->parts.directory.onBeat(record, now);
     for (const auto &mentioned : datagram->mentioned) {
-        this->parts.directory.onMentioned(recordOf(mentioned));
+        this->parts.directory.onMentioned(recordOf(mentioned), now);
     }
     if (datagram->__isset.evidence || datagram->__isset.loads) {
         std::vector<balance::EvidenceReport> evidence;
@@ -151,7 +170,7 @@
         for (const auto &entry : datagram->admissions) {
             counts.push_back({OrganisationId(entry.organisation), static_cast<std::uint64_t>(entry.admitted)});
         }
-        this->parts.quota.onReport(record.id, record.incarnation, counts);
+        this->parts.quota.onReport(record.id, record.incarnation, counts, now);
     }
     PeerStanding standing;
     standing.host = record.id;
@@ -175,7 +194,7 @@
     if (now >= this->nextBeatAt) {
         this->beat(now);
     }
-    if (now >= this->nextReportAt) {
+    if (now >= this->nextReportAt || this->parts.quota.hasUrgentReport()) {
         this->report(now);
     }
     if (now >= this->nextSearchAt) {
@@ -201,14 +220,28 @@
                              {"living_in_domain", static_cast<std::uint64_t>(directory.livingHosts(directory.own().failureDomain, now).size())}});
         this->nextBeatAt = now;
     }
-    this->parts.sync.setEntryHost(isEntry);
+    const bool serves = isEntry || now - this->parts.lastServedAt() < ServingMemory;
+    if (std::exchange(this->isServing, serves) != serves) {
+        this->nextBeatAt = now;
+        this->parts.quota.assumeUnknown(now);
+    }
+    this->parts.sync.setRank(directory.ownRank(now));
     const auto expected = static_cast<double>(directory.entryHostsPerDomain() * this->parts.failureDomains.size());
-    if (isEntry) {
-        this->parts.quota.setHeardShare(static_cast<double>(directory.allEntryHosts(now).size()) / expected);
+    const auto living = directory.livingHosts(directory.own().failureDomain, now).size();
+    if (serves) {
+        const auto heard = static_cast<double>(directory.allEntryHosts(now).size());
+        const auto peers = directory.servingPeers(now).size();
+        const bool isAlone = peers == 0 && directory.knownHosts(now).size() > 1;
+        this->aloneSince = isAlone ? std::min(this->aloneSince, now) : MonotonicTime::max();
+        // The others replace a host that is cut off from them, and its callers go there.
+        const double alonePart = isAlone && now - this->aloneSince >= ReplacementTime ? 0.5 / static_cast<double>(directory.knownHosts(now).size()) : 1;
+        this->parts.quota.setHeard(std::min({1.0, heard / expected, alonePart}), peers + 1);
+        this->parts.retries.setSlackShare(EntrySlackPart / expected);
         return;
     }
-    // A standby host serves only callers with an old answer, so that half of one entry host's part is ample.
-    this->parts.quota.setHeardShare(0.5 / expected);
+    // A host that served nobody lately gets no reports until it does.
+    this->parts.quota.setHeard(0.5 / expected, 1);
+    this->parts.retries.setSlackShare((1 - EntrySlackPart) / static_cast<double>(std::max<std::size_t>(1, living) * this->parts.failureDomains.size()));
 }
 
 wire::HostBeat PeerLink::ownBeat() const
@@ -221,7 +254,9 @@
         beat.storeContactAgeMs = static_cast<std::int32_t>(std::chrono::duration_cast<milliseconds>(*standing.storeContactAge).count());
     }
     auto interval = EntryBeatInterval;
-    if (!this->isEntryHost) {
+    beat.isServing = this->isServing;
+    beat.isEntry = this->isEntryHost;
+    if (!this->isServing && !beat.isLeaving) {
         const auto now = this->parts.clock.now();
         const auto count = this->parts.directory.livingHosts(this->parts.directory.own().failureDomain, now).size();
         interval = std::max(LeastStandbyBeatInterval, milliseconds(1000 * count / StandbyHostsPerSecond));
@@ -237,21 +272,35 @@
     const milliseconds interval(datagram.sender.beatIntervalMs);
     this->nextBeatAt = now + interval;
     const auto &own = this->parts.directory.own();
+    if (this->isEntryHost && now >= this->nextMentionAt) {
+        this->nextMentionAt = now + MentionInterval;
+        this->addMentions(datagram, now);
+    }
     for (const auto *const host : this->parts.directory.knownHosts(now)) {
         if (host->failureDomain == own.failureDomain) {
             this->send(datagram, host->peerAddress);
         }
     }
-    if (!this->isEntryHost && !own.isLeaving) {
+    if (!this->isServing && !own.isLeaving) {
         return;
     }
-    for (const auto *const host : this->parts.directory.allEntryHosts(now)) {
+    for (const auto *const host : this->parts.directory.servingPeers(now)) {
         if (host->failureDomain != own.failureDomain) {
             this->send(datagram, host->peerAddress);
         }
     }
 }
 
+bool PeerLink::isCutOff() const
+{
+    const auto now = this->parts.clock.now();
+    const auto standing = this->parts.sync.standing();
+    const bool hasStore = standing.storeContactAge && *standing.storeContactAge < CutOffTime;
+    const auto &directory = this->parts.directory;
+    const auto known = directory.knownHosts(now);
+    return !hasStore && !known.empty() && directory.livingPeers(now) == 0;
+}
+
 void PeerLink::announce()
 {
     this->beat(this->parts.clock.now());
@@ -295,10 +344,8 @@
     datagram.__isset.loads = !datagram.loads.empty();
     datagram.__isset.admissions = !datagram.admissions.empty();
     datagram.sender = this->ownBeat();
-    for (const auto *const host : this->parts.directory.allEntryHosts(now)) {
-        if (host->id != this->parts.directory.own().id) {
-            this->send(datagram, host->peerAddress);
-        }
+    for (const auto *const host : this->parts.directory.servingPeers(now)) {
+        this->send(datagram, host->peerAddress);
     }
 }
 
@@ -312,7 +359,12 @@
     const auto known = directory.knownHosts(now);
     for (const auto &domain : this->parts.failureDomains) {
         const bool isOwn = domain == directory.own().failureDomain;
-        const auto living = directory.livingHosts(domain, now);
+        auto living = directory.livingHosts(domain, now);
+        if (!isOwn) {
+            std::erase_if(living, [](const balance::HostRecord *host) {
+                return !host->isEntry;
+            });
+        }
         const std::size_t enough = isOwn ? 2 : directory.entryHostsPerDomain();
         // Only entry hosts need the other failure domains.
         if (living.size() >= enough || (!isOwn && !this->isEntryHost)) {
@@ -341,14 +393,23 @@
 {
     wire::Datagram answer;
     answer.sender = this->ownBeat();
+    this->addMentions(answer, now);
+    this->send(answer, target);
+}
+
+/// Names the entry hosts that this host knows.
+void PeerLink::addMentions(wire::Datagram &datagram, MonotonicTime now) const
+{
     const auto &directory = this->parts.directory;
     for (const auto *const host : directory.allEntryHosts(now)) {
-        if (answer.mentioned.size() < MaxMentioned && host->id != directory.own().id) {
-            answer.mentioned.push_back(beatOf(*host));
+        if (datagram.mentioned.size() < MaxMentioned && host->id != directory.own().id) {
+            auto beat = beatOf(*host);
+            beat.isEntry = true;
+            beat.isServing = true;
+            datagram.mentioned.push_back(std::move(beat));
         }
     }
-    answer.__isset.mentioned = !answer.mentioned.empty();
-    this->send(answer, target);
+    datagram.__isset.mentioned = !datagram.mentioned.empty();
 }
 
 void PeerLink::send(const wire::Datagram &datagram, const Endpoint &target)
--- a/packages/gateway/lib/peerlink.h
+++ b/packages/gateway/lib/peerlink.h
@@ -4,6 +4,7 @@
 
 #include <rhubarbtiller/balance/hostdirectory.h>
 #include <rhubarbtiller/balance/organisationquota.h>
+#include <rhubarbtiller/balance/retrybudget.h>
 #include <rhubarbtiller/balance/scoreboard.h>
 
 #include <asio/ip/udp.hpp>
@@ -32,6 +33,9 @@
         std::vector<Endpoint> seeds;
         /// Called for each standing that a peer reports.
         std::function<void(const PeerStanding &)> onStanding;
+        balance::RetryBudget &retries;
+        /// Returns when this host last handled a request of an organisation.
+        std::function<MonotonicTime()> lastServedAt;
     };
 
     /// Precondition: what \p linkParts refers to outlives this object.
@@ -46,6 +50,9 @@
     /// Sends urgent evidence without delay. Precondition: started.
     void onEvidence();
 
+    /// Returns whether no other host was heard for a while though some are known. Precondition: none.
+    bool isCutOff() const;
+
     /// Returns the beat that names this host. Precondition: none.
     wire::HostBeat ownBeat() const;
 
@@ -58,6 +65,7 @@
     void search(MonotonicTime now);
     void updateStanding(MonotonicTime now);
     void send(const wire::Datagram &datagram, const Endpoint &target);
+    void addMentions(wire::Datagram &datagram, MonotonicTime now) const;
     void mentionTo(const Endpoint &target, MonotonicTime now);
 
     Parts parts;
@@ -69,8 +77,12 @@
     MonotonicTime nextReportAt{};
     MonotonicTime nextSearchAt{};
     MonotonicTime lastUrgentAt{};
+    MonotonicTime nextMentionAt{};
     bool isEntryHost = false;
+    bool isServing = false;
     bool isSendFailing = false;
+    /// Since when no other host is heard; the end of time while some are.
+    MonotonicTime aloneSince = MonotonicTime::max();
 };
 
 /// Converts a beat to the record of its host. Thread safety: any thread.
--- a/packages/gateway/lib/requestflow.cpp
+++ b/packages/gateway/lib/requestflow.cpp
@@ -96,10 +96,12 @@
                                    this->route->timeLimit > Duration(0) ? this->route->timeLimit : DefaultPatience);
     this->deadline = this->arrivedAt + patience - AnswerMargin;
     if (!this->organisation.isEmpty()) {
-        if (const auto wait = this->flow.quota.admit(this->organisation, this->arrivedAt)) {
-            return Refusal{RefusalReason::OverQuota, true, wait};
+        this->quota = this->flow.quota.admit(this->organisation, this->arrivedAt);
+        if (this->quota.retryAfter) {
+            return Refusal{RefusalReason::OverQuota, true, this->quota.retryAfter};
         }
         this->isAdmitted = true;
+        this->flow.lastServedAt = this->arrivedAt;
     }
     this->service = this->flow.split.next(*this->route);
     this->flow.retries.onRequest(this->service, this->arrivedAt);
@@ -388,7 +390,7 @@
 {
     // What the request took from the organisation's rate is free again if nothing ran.
     if (this->isAdmitted && refusal.isNotRun) {
-        this->flow.quota.takeBack(this->organisation);
+        this->flow.quota.takeBack(this->organisation, this->flow.clock.now());
     }
     this->respond(this->flow.dialect.refusal(refusal, this->request.id), refusalWord(refusal.reason));
 }
@@ -419,6 +421,8 @@
                          {"servers", servers},
                          {"failure_probability", failureProbability},
                          {"outstanding", outstanding},
+                         {"quota_used", this->quota.used},
+                         {"quota_limit", this->quota.limit},
                          {"configuration", this->state && this->state->catalog ? this->state->catalog->version().count() : 0},
                          {"state_age_ms",
                           this->state ? static_cast<std::int64_t>(
--- a/packages/gateway/lib/requestflow.h
+++ b/packages/gateway/lib/requestflow.h
@@ -33,6 +33,8 @@
     std::function<void()> whenObserved;
     std::uint64_t inProgress = 0;
     MonotonicTime lastRequestAt{};
+    /// When a request of an organisation was last admitted.
+    MonotonicTime lastServedAt{};
 };
 
 /// Carries one request of a caller from its arrival to its answer.
@@ -87,6 +89,7 @@
     CallerRequest request;
     const catalog::Route *route = nullptr;
     OrganisationId organisation;
+    balance::QuotaDecision quota;
     catalog::ServiceName service;
     MonotonicTime arrivedAt{};
     MonotonicTime deadline{};
--- a/packages/gateway/lib/statesync.cpp
+++ b/packages/gateway/lib/statesync.cpp
@@ -19,7 +19,9 @@
 static constexpr std::chrono::milliseconds TickInterval{100};
 
 /// A peer whose contact with the store is older does not count as following it.
-static constexpr Duration FreshContact = std::chrono::milliseconds(2000);
+static constexpr Duration FreshContact = std::chrono::milliseconds(1500);
+static constexpr Duration TakeOverSpacing = std::chrono::milliseconds(50);
+static constexpr std::size_t MaxTakeOverRank = 8;
 
 /// Pause after a failed call; the random part keeps the hosts of a fleet apart.
 static constexpr std::chrono::milliseconds FirstRetryPause{100};
@@ -62,9 +64,9 @@
     this->tick();
 }
 
-void StateSync::setEntryHost(bool isEntry)
+void StateSync::setRank(std::size_t position)
 {
-    if (this->isEntryHost.exchange(isEntry) != isEntry && isEntry) {
+    if (this->rank.exchange(position) != position && position == 0) {
         asio::post(this->parts.context, [this] {
             this->pump(this->configuration);
             this->pump(this->servers);
@@ -93,12 +95,15 @@
 
 bool StateSync::readsStore(MonotonicTime now) const
 {
-    if (this->isEntryHost.load()) {
+    const auto position = this->rank.load();
+    if (position == 0) {
         return true;
     }
-    return std::none_of(this->peersInDomain.begin(), this->peersInDomain.end(), [now](const auto &entry) {
+    // Hosts take over one after the other.
+    const auto limit = FreshContact + TakeOverSpacing * std::min(position, MaxTakeOverRank);
+    return std::none_of(this->peersInDomain.begin(), this->peersInDomain.end(), [now, limit](const auto &entry) {
         const auto &[standing, heardAt] = entry.second;
-        return standing.storeContactAge && *standing.storeContactAge + (now - heardAt) < FreshContact;
+        return standing.storeContactAge && *standing.storeContactAge + (now - heardAt) < limit;
     });
 }
 
@@ -112,11 +117,11 @@
         return;
     }
     state.isCalling = true;
-    const bool isWhole = state.needsWhole && hasNothing;
+    const bool isWhole = state.needsWhole;
     const auto handler = [this, &state, isWhole](const Result<SourceBatch> &batch) {
-        this->onBatch(state, isWhole || state.needsWhole, batch);
+        this->onBatch(state, isWhole, batch);
     };
-    if (isWhole || state.needsWhole) {
+    if (isWhole) {
         this->parts.source.read(state.table, handler);
         return;
     }
@@ -194,7 +199,7 @@
 {
     // An entry host in contact with the store has the change from there within a moment.
     const auto contactAge = this->parts.clock.now().time_since_epoch().count() - this->lastStoreAnswer.load();
-    const bool isFollowing = this->isReadingStore.load() && Duration(contactAge) < FollowWait && !this->isStoreAway;
+    const bool isFollowing = this->rank.load() == 0 && Duration(contactAge) < FollowWait && !this->isStoreAway;
     const bool isFar = peer.failureDomain != this->parts.ownDomain;
     if (state.isPulling || (isFollowing && isFar)) {
         return;
--- a/packages/gateway/lib/statesync.h
+++ b/packages/gateway/lib/statesync.h
@@ -36,8 +36,8 @@
 
 /// Keeps the host's copies of the configuration and of the servers current, and publishes what the request path reads.
 ///
-/// Entry hosts follow the store. The other hosts of their failure domain take changes from them, and follow the store
-/// themselves only while no entry host of their domain is in contact with it.
+/// The first host of each failure domain follows the store. The others take changes from it, and follow the store
+/// themselves only while no host before them is in contact with it.
 /// Thread safety: the thread of the control context, unless a method says otherwise.
 class StateSync
 {
@@ -62,8 +62,8 @@
     /// Begins to read. Precondition: called once.
     void start();
 
-    /// Says whether callers are sent to this host. Thread safety: any thread.
-    void setEntryHost(bool isEntry);
+    /// Sets the position among the hosts of the failure domain; the first follows the store. Thread safety: any thread.
+    void setRank(std::size_t position);
 
     /// Takes what a peer said. Precondition: none.
     void onPeer(const PeerStanding &peer);
@@ -118,7 +118,7 @@
     bool isStoreAway = false;
     std::set<std::string> reportedRows;
 
-    std::atomic<bool> isEntryHost{false};
+    std::atomic<std::size_t> rank{0};
     std::atomic<std::uint64_t> configurationVersion{0};
     std::atomic<std::uint64_t> serversVersion{0};
     std::atomic<std::int64_t> lastStoreAnswer{0};
