Take removals without a version from the feed, and log what changes of the servers

The adapter dropped rows without a version, silently. Ruled out: the peer copies (no failed copy in the log) and the time that lapsed entries are kept (no outage before).

--- a/packages/gateway/lib/statesync.cpp
+++ b/packages/gateway/lib/statesync.cpp
@@ -292,12 +292,61 @@
     return std::make_shared<const catalog::ServerTable>(std::move(entries));
 }
 
+/// Returns the ids in \p ids joined by commas, cut off when they are many.
+static std::string joined(const std::vector<std::string> &ids)
+{
+    static constexpr std::size_t MaxListed = 12;
+    std::string text;
+    for (std::size_t i = 0; i < std::min(ids.size(), MaxListed); ++i) {
+        text += (i == 0 ? "" : ",") + ids[i];
+    }
+    return ids.size() > MaxListed ? text + ",+" + std::to_string(ids.size() - MaxListed) : text;
+}
+
+void StateSync::logServerChanges(const catalog::ServerTable &next)
+{
+    std::map<BackendServerId, bool> before;
+    if (this->lastServers) {
+        for (const auto &entry : this->lastServers->entries()) {
+            before.emplace(entry.id, entry.isDraining);
+        }
+    }
+    std::vector<std::string> added;
+    std::vector<std::string> draining;
+    for (const auto &entry : next.entries()) {
+        const auto known = before.find(entry.id);
+        if (known == before.end()) {
+            added.push_back(entry.id.text());
+        } else if (entry.isDraining && !known->second) {
+            draining.push_back(entry.id.text());
+        }
+        before.erase(entry.id);
+    }
+    std::vector<std::string> removed;
+    for (const auto &[id, wasDraining] : before) {
+        removed.push_back(id.text());
+    }
+    if (added.empty() && draining.empty() && removed.empty()) {
+        return;
+    }
+    logEvent(LogLevel::Info,
+             "servers_changed",
+             {{"store_version", this->servers.replica.version()},
+              {"known", static_cast<std::uint64_t>(next.entries().size())},
+              {"lapsed", static_cast<std::uint64_t>(this->lapsedServers.size())},
+              {"added", joined(added)},
+              {"draining", joined(draining)},
+              {"removed", joined(removed)}});
+}
+
 void StateSync::publish()
 {
     const auto now = this->parts.clock.now();
     auto state = std::make_shared<catalog::FleetState>();
     state->catalog = this->catalog;
     state->servers = this->buildServers(now);
+    this->logServerChanges(*state->servers);
+    this->lastServers = state->servers;
     state->evacuatedDomains = this->parts.decoder.evacuatedDomains(this->configuration.replica.rows());
     state->changedAt = now;
     this->parts.published.publish(std::move(state));
--- a/packages/gateway/lib/statesync.h
+++ b/packages/gateway/lib/statesync.h
@@ -103,6 +103,7 @@
     void keepLapsedServers(const HeldRows &removed, MonotonicTime now);
     void publish();
     std::shared_ptr<const catalog::ServerTable> buildServers(MonotonicTime now);
+    void logServerChanges(const catalog::ServerTable &next);
 
     Parts parts;
     asio::steady_timer timer;
@@ -110,6 +111,7 @@
     TableState servers;
     std::map<HostId, FreshPeer> peersInDomain;
     std::shared_ptr<const catalog::Catalog> catalog;
+    std::shared_ptr<const catalog::ServerTable> lastServers;
     /// Entries that lapsed while the store was away, with the time until which their servers may still be used.
     std::map<std::string, std::pair<HeldRow, MonotonicTime>> lapsedServers;
     MonotonicTime storeAwaySince{};
--- a/packages/gateway/lib/tablereplica.cpp
+++ b/packages/gateway/lib/tablereplica.cpp
@@ -58,11 +58,13 @@
     this->removed.clear();
     bool hasChanged = false;
     for (const auto &row : batch.rows) {
-        const auto found = this->held.find(row.key);
-        if (found != this->held.end() && found->second.version >= row.version) {
+        if (!row.isRemoved) {
+            hasChanged = this->put(row.key, row.value, row.version, now) || hasChanged;
             continue;
         }
-        hasChanged = (row.isRemoved ? this->drop(row.key) : this->put(row.key, row.value, row.version, now)) || hasChanged;
+        const auto found = this->held.find(row.key);
+        const bool isNewer = found != this->held.end() && found->second.version > row.version;
+        hasChanged = (!isNewer && this->drop(row.key)) || hasChanged;
     }
     this->followedTo = std::max(this->followedTo, batch.version);
     if (hasChanged) {
