Wait for a slot in the host's line, and end the outage of a host that a peer keeps current

Ruled out: late copies (all other hosts had the removal within 15 ms). Change: a host that takes copies from a peer counts the store as back; only its own removals may be lapsed entries. Requests wait at their host for a free slot, more urgent first; the least urgent repeats leave a part of the budget.

--- a/packages/balance/include/rhubarbtiller/balance/placement.h
+++ b/packages/balance/include/rhubarbtiller/balance/placement.h
@@ -5,6 +5,9 @@
 
 namespace rhubarbtiller::balance {
 
+/// The mean time that a server works on a request, from the measured workloads.
+inline constexpr Duration MeanWorkTime = std::chrono::milliseconds(270);
+
 /// A request that needs a backend server.
 struct PlacementQuery
 {
@@ -15,8 +18,6 @@
     bool canRepeat = false;
     /// Servers that were tried already.
     std::vector<BackendServerId> excluded;
-    /// Time that the caller still waits.
-    Duration remaining{};
     /// Entry hosts of this failure domain that share the cold rate of a server.
     unsigned entryHostsInDomain = 1;
     /// Whether callers are sent to this host; others leave cold servers alone.
@@ -40,6 +41,8 @@
     double failureProbability = 0;
     std::uint32_t outstanding = 0;
     bool isCold = false;
+    /// Slots of the servers that may be used at all.
+    std::uint32_t usableSlots = 0;
 };
 
 /// Chooses the backend server with the lowest expected cost: probability of failure, queueing, distance.
--- a/packages/balance/include/rhubarbtiller/balance/retrybudget.h
+++ b/packages/balance/include/rhubarbtiller/balance/retrybudget.h
@@ -31,8 +31,10 @@
     /// Counts a request of a caller. Precondition: \p now does not go back.
     void onRequest(const catalog::ServiceName &service, MonotonicTime now);
 
-    /// Takes a repeat from the budget if it has one left. Precondition: \p now does not go back.
-    bool tryRepeat(const catalog::ServiceName &service, MonotonicTime now);
+    /// Takes a repeat from the budget if more than the part \p reserve, 0 to 1, of it is left.
+    ///
+    /// Precondition: \p now does not go back.
+    bool tryRepeat(const catalog::ServiceName &service, double reserve, MonotonicTime now);
 
 private:
     static constexpr std::size_t SliceCount = 20;
--- a/packages/balance/lib/placement.cpp
+++ b/packages/balance/lib/placement.cpp
@@ -26,12 +26,11 @@
 /// Breaks ties.
 static constexpr double TieRange = 0.004;
 
-/// The mean time that a server works on a request, from the measured workloads.
-static constexpr Duration MeanWorkTime = std::chrono::milliseconds(270);
-/// Requests that a server lets wait beyond its slots; servers keep a few.
-static constexpr std::uint32_t MaxQueued = 6;
-/// The part of the remaining time that a request may spend in a server's queue.
-static constexpr double QueueTimePart = 0.6;
+/// Requests that a server may have for each slot; beyond that they wait at their host, where a better server may come first.
+static constexpr std::uint32_t MaxOutstandingPerSlot = 3;
+
+/// A server that fails more often than this adds no capacity.
+static constexpr double UsableFailureProbability = 0.5;
 
 /// Returns whether the server may get one more request while it is cold; takes the right if \p takes.
 static bool coldServerAccepts(const catalog::Service *service, ServerState &state, const PlacementQuery &query, bool takes, MonotonicTime now)
@@ -53,15 +52,6 @@
     return true;
 }
 
-/// Returns how many requests the server may have when this one comes.
-static std::uint32_t outstandingLimit(const catalog::ServerEntry &server, const PlacementQuery &query)
-{
-    const double slots = std::max(1U, server.slots.count());
-    const double waits = std::max(0.0, QueueTimePart * std::chrono::duration<double>(query.remaining).count())
-        / std::chrono::duration<double>(MeanWorkTime).count() * slots;
-    return server.slots.count() + std::min(MaxQueued, static_cast<std::uint32_t>(waits));
-}
-
 static double cost(const PlacementQuery &query, const catalog::ServerEntry &server, const ServerState &state, const Placement &figures, MonotonicTime now)
 {
     const double slots = std::max(1U, server.slots.count());
@@ -85,6 +75,7 @@
     assert(fleet.servers && "placement needs a server table");
     const auto *const service = fleet.catalog ? fleet.catalog->findService(query.service) : nullptr;
     Placement best;
+    std::uint32_t usableSlots = 0;
     double bestCost = std::numeric_limits<double>::max();
     for (const auto position : fleet.servers->serversOf(query.service)) {
         const auto &server = fleet.servers->entries()[position];
@@ -102,7 +93,8 @@
         figures.failureProbability = state.estimator.failureProbability(now);
         figures.outstanding = state.ownOutstanding + state.remoteOutstanding(now);
         figures.isCold = now < server.coldUntil;
-        if (figures.outstanding >= outstandingLimit(server, query)) {
+        usableSlots += figures.failureProbability < UsableFailureProbability ? server.slots.count() : 0;
+        if (figures.outstanding >= server.slots.count() * MaxOutstandingPerSlot) {
             if (best.server == nullptr) {
                 best.failure = PlacementFailure::Saturated;
             }
@@ -121,6 +113,7 @@
             best = figures;
         }
     }
+    best.usableSlots = usableSlots;
     if (best.server != nullptr && best.isCold) {
         coldServerAccepts(service, board.state(best.server->id), query, true, now);
     }
--- a/packages/balance/lib/retrybudget.cpp
+++ b/packages/balance/lib/retrybudget.cpp
@@ -33,7 +33,7 @@
     ++this->currentSlice(this->services[service], now).requests;
 }
 
-bool RetryBudget::tryRepeat(const catalog::ServiceName &service, MonotonicTime now)
+bool RetryBudget::tryRepeat(const catalog::ServiceName &service, double reserve, MonotonicTime now)
 {
     auto &slices = this->services[service];
     auto &current = this->currentSlice(slices, now);
@@ -45,7 +45,8 @@
             repeats += slice.repeats;
         }
     }
-    if (repeats + 1 > this->ratio * requests + this->slack * this->slackShare) {
+    const double budget = this->ratio * requests + this->slack * this->slackShare;
+    if (repeats + 1 > budget * (1 - reserve)) {
         return false;
     }
     ++current.repeats;
--- a/packages/gateway/lib/gatewayprocess.cpp
+++ b/packages/gateway/lib/gatewayprocess.cpp
@@ -36,6 +36,10 @@
 
 static constexpr milliseconds StopCheckInterval{100};
 
+/// How often waiting requests are looked after, with and without some.
+static constexpr milliseconds BusyPumpInterval{20};
+static constexpr milliseconds IdlePumpInterval{100};
+
 /// Attempts to write the address of this host to the store.
 static constexpr milliseconds RegisterRetryPause{1000};
 
@@ -98,6 +102,7 @@
     void onPublished();
     void beginStop();
     void checkStop();
+    void pumpWaiting();
     http::HttpResponse answerAddresses(const http::HttpRequest &request);
     http::HttpResponse answerReadiness(const http::HttpRequest &request);
     http::HttpResponse answerControl(const http::HttpRequest &request);
@@ -131,6 +136,7 @@
     std::unique_ptr<http::HttpServer> readinessServer;
     std::unique_ptr<http::HttpServer> controlServer;
     asio::steady_timer stopTimer;
+    asio::steady_timer pumpTimer;
     asio::steady_timer registerTimer;
     MonotonicTime stopBeganAt{};
     std::atomic<bool> isStopping{false};
@@ -180,9 +186,7 @@
            [this] {
                this->link.onEvidence();
            },
-           0,
-           {},
-           {}}
+           0}
     , sync({controlContext,
             clock,
             random,
@@ -225,6 +229,7 @@
         return this->answerControl(request);
     })
     , stopTimer(servingContext)
+    , pumpTimer(servingContext)
     , registerTimer(controlContext)
 {
     http::ServerLimits limits;
@@ -263,6 +268,7 @@
     if (const auto error = this->link.start()) {
         return error;
     }
+    this->pumpWaiting();
     asio::post(this->control, [this] {
         this->sync.start();
         this->registerHost();
@@ -407,6 +413,18 @@
     this->checkStop();
 }
 
+/// Looks after the waiting requests, since slots also become free at other hosts.
+void GatewayProcess::Parts::pumpWaiting()
+{
+    RequestFlow::pumpWaiting(this->flow);
+    this->pumpTimer.expires_after(this->flow.line.isEmpty() ? IdlePumpInterval : BusyPumpInterval);
+    this->pumpTimer.async_wait([this](std::error_code error) {
+        if (!error) {
+            this->pumpWaiting();
+        }
+    });
+}
+
 void GatewayProcess::Parts::checkStop()
 {
     const auto now = this->clock.now();
--- a/packages/gateway/lib/requestflow.cpp
+++ b/packages/gateway/lib/requestflow.cpp
@@ -2,6 +2,8 @@
 
 #include <rhubarbtiller/telemetry/log.h>
 
+#include <asio/post.hpp>
+
 #include <algorithm>
 
 namespace rhubarbtiller::gateway {
@@ -32,6 +34,10 @@
 static constexpr unsigned MaxConnectFailures = 4;
 
 /// When callers may come again: servers free a slot about this often.
+/// Routes of this priority or a higher number leave a part of the retry budget to the others.
+static constexpr int LeastUrgentPriority = 2;
+static constexpr double LeastUrgentReserve = 0.35;
+
 static constexpr Duration SaturatedRetryAfter = milliseconds(300);
 static constexpr Duration NoServerRetryAfter = milliseconds(500);
 static constexpr Duration NoConfigurationRetryAfter = milliseconds(300);
@@ -67,13 +73,100 @@
             self->onCallerGone();
         }
     });
-    if (const auto refusal = this->sendNext(false)) {
+    if (const auto refusal = this->sendOrWait(false)) {
         this->refuse(*refusal);
         return;
     }
     this->armTimer();
 }
 
+int RequestFlow::priority() const
+{
+    return this->organisationPriority.value_or(this->route->priority);
+}
+
+/// Returns the part of the retry budget that is left to more urgent requests.
+double RequestFlow::retryReserve() const
+{
+    return this->route->priority >= LeastUrgentPriority ? LeastUrgentReserve : 0;
+}
+
+/// Sends the request, or lets it wait for a server if nothing of it may have run; returns why neither is possible.
+std::optional<Refusal> RequestFlow::sendOrWait(bool isRepeat)
+{
+    auto refusal = this->sendNext(isRepeat);
+    if (refusal && refusal->reason == RefusalReason::Saturated && refusal->isNotRun) {
+        this->waitsForRepeat = isRepeat;
+        if (this->joinLine()) {
+            return std::nullopt;
+        }
+    }
+    return refusal;
+}
+
+/// Joins the line; returns whether there is room.
+bool RequestFlow::joinLine()
+{
+    const auto now = this->flow.clock.now();
+    const auto patience = balance::waitingPatience(this->deadline - now);
+    const auto hosts = std::max<std::size_t>(1, this->flow.directory.allEntryHosts(now).size());
+    const auto limit = balance::waitingLimit(this->usableSlots, patience, hosts);
+    this->ticket = this->flow.nextTicket++;
+    const auto own = this->ticket;
+    this->flow.waiting.emplace(own, this->shared_from_this());
+    const auto refused = this->flow.line.join(this->service, {own, this->priority(), now + patience}, limit);
+    for (const auto id : refused) {
+        const auto found = this->flow.waiting.find(id);
+        if (found == this->flow.waiting.end()) {
+            continue;
+        }
+        const auto displaced = found->second;
+        this->flow.waiting.erase(found);
+        displaced->ticket = 0;
+        if (id != own) {
+            displaced->refuse({RefusalReason::Saturated, true, SaturatedRetryAfter});
+        }
+    }
+    return this->ticket != 0;
+}
+
+void RequestFlow::leaveLine()
+{
+    if (const auto id = std::exchange(this->ticket, 0); id != 0) {
+        this->flow.line.leave(this->service, id);
+        this->flow.waiting.erase(id);
+    }
+}
+
+void RequestFlow::pumpWaiting(FlowContext &flow)
+{
+    if (flow.line.isEmpty() || std::exchange(flow.isPumping, true)) {
+        return;
+    }
+    for (const auto id : flow.line.takeExpired(flow.clock.now())) {
+        if (auto node = flow.waiting.extract(id); !node.empty()) {
+            node.mapped()->ticket = 0;
+            node.mapped()->refuse({RefusalReason::Saturated, true, SaturatedRetryAfter});
+        }
+    }
+    for (const auto &service : flow.line.services()) {
+        while (const auto id = flow.line.first(service)) {
+            const auto next = flow.waiting.at(*id);
+            const auto refusal = next->sendNext(next->waitsForRepeat);
+            if (refusal && refusal->reason == RefusalReason::Saturated) {
+                break;
+            }
+            next->leaveLine();
+            if (refusal) {
+                next->refuse(*refusal);
+            } else {
+                next->armTimer();
+            }
+        }
+    }
+    flow.isPumping = false;
+}
+
 std::optional<Refusal> RequestFlow::admit()
 {
     if (!this->state || !this->state->catalog) {
@@ -88,6 +181,7 @@
         const auto *const holder = this->request.key ? catalog.findOrganisation(*this->request.key) : nullptr;
         if (holder != nullptr) {
             this->organisation = holder->id;
+            this->organisationPriority = holder->priority;
         } else if (!this->route->isPublic) {
             return Refusal{RefusalReason::UnknownKey, true, {}};
         }
@@ -146,17 +240,17 @@
     query.ownDomain = this->flow.directory.own().failureDomain;
     query.canRepeat = this->isIdempotent() && this->route->maxAttempts > this->runs + 1;
     query.excluded = this->usedServers;
-    query.remaining = remaining;
     query.entryHostsInDomain = this->flow.directory.entryHostsPerDomain();
     query.isEntryHost = this->flow.directory.isEntryHost(now);
     const auto placement = balance::chooseServer(query, *current, this->flow.board, this->flow.random, now);
+    this->usableSlots = placement.usableSlots;
     if (placement.server == nullptr) {
         const bool isSaturated = placement.failure == balance::PlacementFailure::Saturated;
         return Refusal{isSaturated ? RefusalReason::Saturated : RefusalReason::NoServer,
                        !this->mayHaveRun(),
                        isSaturated ? SaturatedRetryAfter : NoServerRetryAfter};
     }
-    if (isRepeat && this->arrivals > 0 && !this->flow.retries.tryRepeat(this->service, now)) {
+    if (isRepeat && this->arrivals > 0 && !this->flow.retries.tryRepeat(this->service, this->retryReserve(), now)) {
         return Refusal{RefusalReason::RetryBudgetSpent, !this->mayHaveRun(), SaturatedRetryAfter};
     }
     const auto &server = *placement.server;
@@ -186,6 +280,11 @@
 {
     if (std::exchange(closed.isOpen, false)) {
         this->flow.board.onFinished(closed.server);
+        if (!this->flow.line.isEmpty()) {
+            asio::post(this->flow.context, [&flow = this->flow] {
+                pumpWaiting(flow);
+            });
+        }
     }
 }
 
@@ -274,7 +373,7 @@
         && this->usedServers.size() < this->route->maxAttempts + MaxConnectFailures;
     std::optional<Refusal> refusal = Refusal{reason, !this->mayHaveRun(), SaturatedRetryAfter};
     if (mayTryAgain) {
-        refusal = this->sendNext(true);
+        refusal = this->sendOrWait(true);
     }
     if (!refusal) {
         this->armTimer();
@@ -295,6 +394,7 @@
     if (std::exchange(this->isFinished, true)) {
         return;
     }
+    this->leaveLine();
     this->timer.cancel();
     this->cancelTries();
     this->log("caller_gone", 0);
@@ -379,6 +479,7 @@
     if (std::exchange(this->isFinished, true)) {
         return;
     }
+    this->leaveLine();
     this->timer.cancel();
     this->cancelTries();
     const int status = response.status;
--- a/packages/gateway/lib/requestflow.h
+++ b/packages/gateway/lib/requestflow.h
@@ -4,6 +4,7 @@
 #include <rhubarbtiller/balance/organisationquota.h>
 #include <rhubarbtiller/balance/placement.h>
 #include <rhubarbtiller/balance/retrybudget.h>
+#include <rhubarbtiller/balance/waitingline.h>
 #include <rhubarbtiller/balance/weightedsplit.h>
 #include <rhubarbtiller/base/rcucell.h>
 #include <rhubarbtiller/gateway/backendclient.h>
@@ -14,6 +15,8 @@
 
 namespace rhubarbtiller::gateway {
 
+class RequestFlow;
+
 /// The objects that the flows of all requests share; used on the thread of the serving context.
 struct FlowContext
 {
@@ -32,6 +35,10 @@
     /// Called after evidence was noted.
     std::function<void()> whenObserved;
     std::uint64_t inProgress = 0;
+    balance::WaitingLine line{};
+    std::map<std::uint64_t, std::shared_ptr<RequestFlow>> waiting{};
+    std::uint64_t nextTicket = 1;
+    bool isPumping = false;
     MonotonicTime lastRequestAt{};
     /// When a request of an organisation was last admitted.
     MonotonicTime lastServedAt{};
@@ -52,6 +59,11 @@
     /// Begins; the caller gets exactly one answer. Precondition: called once.
     void start(http::HttpRequest message);
 
+    /// Starts waiting requests while servers have room, and refuses those that cannot start in time any more.
+    ///
+    /// Precondition: none.
+    static void pumpWaiting(FlowContext &flow);
+
 private:
     struct Try
     {
@@ -66,6 +78,11 @@
 
     std::optional<Refusal> admit();
     std::optional<Refusal> sendNext(bool isRepeat);
+    std::optional<Refusal> sendOrWait(bool isRepeat);
+    bool joinLine();
+    void leaveLine();
+    int priority() const;
+    double retryReserve() const;
     void onOutcome(std::size_t number, AttemptOutcome outcome);
     void onAnswer(std::size_t number, http::HttpResponse response);
     void onFailedTry(RefusalReason reason);
@@ -101,6 +118,12 @@
     /// Servers that may have run the request.
     unsigned runs = 0;
     unsigned connectFailures = 0;
+    /// The place in the line; 0 outside of it.
+    std::uint64_t ticket = 0;
+    std::uint32_t usableSlots = 0;
+    Duration waited{};
+    bool waitsForRepeat = false;
+    std::optional<int> organisationPriority;
     bool hasHedged = false;
     bool isAdmitted = false;
     bool isFinished = false;
--- a/packages/gateway/lib/statesync.cpp
+++ b/packages/gateway/lib/statesync.cpp
@@ -33,12 +33,18 @@
 /// Failures in a row after which the store counts as away.
 static constexpr unsigned AwayFailures = 2;
 
+/// Pause after an answer with changes.
+static constexpr Duration ChangePause = std::chrono::milliseconds(120);
+
 /// A peer answers at once; a longer wait means that it is gone.
 static constexpr Duration PullTimeout = std::chrono::milliseconds(500);
 
 /// Bounds the memory of rows that were reported as unreadable.
 static constexpr std::size_t MaxReportedRows = 1000;
 
+/// Names the store as the source of a change.
+static constexpr std::string_view OwnSource = "store";
+
 static std::string_view tableWord(SourceTable table)
 {
     switch (table) {
@@ -112,6 +118,10 @@
     const auto now = this->parts.clock.now();
     const bool reads = this->readsStore(now);
     this->isReadingStore = reads;
+    if (!reads && std::exchange(this->isStoreAway, false)) {
+        // A peer is in contact with the store, so that what it removes is gone.
+        logEvent(LogLevel::Info, "store_regained", {{"through", "peer"}, {"servers_version", this->servers.replica.version()}});
+    }
     const bool hasNothing = state.replica.version() == 0;
     if (state.isCalling || now < state.nextCallAt || (!reads && !hasNothing)) {
         return;
@@ -141,7 +151,9 @@
     const bool hasChanged = isWhole ? state.replica.replace(*batch, now) : state.replica.apply(*batch, now);
     state.needsWhole = false;
     if (hasChanged) {
-        this->onTableChanged(state, "store");
+        this->onTableChanged(state, OwnSource);
+        // Changes often come together; the pause makes one call of several.
+        state.nextCallAt = now + ChangePause;
     }
     this->pump(state);
 }
@@ -264,7 +276,9 @@
         }
         this->configurationVersion = state.replica.version();
     } else {
-        this->keepLapsedServers(state.replica.removedRows(), now);
+        if (from == OwnSource) {
+            this->keepLapsedServers(state.replica.removedRows(), now);
+        }
         this->serversVersion = state.replica.version();
     }
     this->publish();
