Test the decisions of the catalog and balance packages

The quota test found a fault: the part of the rate between two reports counted a host's own admissions twice, so that a host alone admitted 15 of 20.

--- a/packages/balance/include/rhubarbtiller/balance/organisationquota.h
+++ b/packages/balance/include/rhubarbtiller/balance/organisationquota.h
@@ -85,7 +85,8 @@
         std::array<Slice, SliceCount> slices;
         /// Admissions of the fleet in one window; 0 has no bound.
         double limit = 0;
-        /// What others may have admitted before this host could hear of it; it fades over one window.
+        double ratePerSecond = 0;
+        /// What others may have admitted before this host could hear of it; it leaves the window at the bare rate.
         double assumed = 0;
         MonotonicTime assumedAt{};
         std::uint64_t admitted = 0;
--- a/packages/balance/lib/organisationquota.cpp
+++ b/packages/balance/lib/organisationquota.cpp
@@ -25,6 +25,7 @@
     for (const auto &organisation : catalog.organisations()) {
         const auto [entry, isNew] = this->accounts.try_emplace(organisation.id);
         auto &account = entry->second;
+        account.ratePerSecond = organisation.rate.count();
         account.limit = organisation.rate.count() > 0 ? organisation.rate.count() * seconds + organisation.burst.count() : 0;
         if (isNew) {
             account.assumed = account.limit;
@@ -63,8 +64,9 @@
 double OrganisationQuota::admittedInWindow(const Account &account, MonotonicTime now) const
 {
     const std::int64_t number = now.time_since_epoch() / (this->window / WindowSlices);
-    const double faded = std::chrono::duration<double>(now - account.assumedAt) / std::chrono::duration<double>(this->window);
-    double sum = account.assumed * std::max(0.0, 1 - faded);
+    const auto sinceAssumed = now - account.assumedAt;
+    const double faded = account.ratePerSecond * std::chrono::duration<double>(sinceAssumed).count();
+    double sum = sinceAssumed < this->window ? std::max(0.0, account.assumed - faded) : 0;
     for (const auto &slice : account.slices) {
         sum += slice.number > number - static_cast<std::int64_t>(SliceCount) ? slice.admitted : 0;
     }
@@ -81,7 +83,7 @@
         const double left = decision.limit - decision.used;
         this->isUrgent = this->isUrgent || left < decision.limit * UrgentPart;
         // Between two reports the hosts share what is left, so that they do not all use it at once.
-        const double ownPart = std::max(1.0, (left + ReportTolerance) / this->hosts);
+        const double ownPart = std::max(1.0, (left + account.unreported + ReportTolerance) / this->hosts);
         if (left < 1 || account.unreported + 1 > ownPart) {
             // On average, the window frees one admission in this time.
             decision.retryAfter = std::chrono::duration_cast<Duration>(this->window / std::max(1.0, decision.limit));
--- a/packages/balance/lib/waitingline.cpp
+++ b/packages/balance/lib/waitingline.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <cmath>
 
 namespace rhubarbtiller::balance {
 
@@ -19,7 +20,7 @@
 {
     assert(hosts > 0 && "this host shares the slots too");
     const double starts = usableSlots * (std::chrono::duration<double>(patience) / std::chrono::duration<double>(MeanWorkTime));
-    return static_cast<std::size_t>(starts / static_cast<double>(hosts));
+    return static_cast<std::size_t>(std::llround(starts / static_cast<double>(hosts)));
 }
 
 std::vector<std::uint64_t> WaitingLine::join(const catalog::ServiceName &service, const WaitingTicket &ticket, std::size_t limit)
--- /dev/null
+++ b/packages/balance/unittests/failureestimatortest.cpp
@@ -0,0 +1,73 @@
+#include <rhubarbtiller/balance/failureestimator.h>
+
+#include <rhubarbtiller/testing/virtualclock.h>
+
+#include <doctest/doctest.h>
+
+using namespace rhubarbtiller;
+using namespace rhubarbtiller::balance;
+using namespace std::chrono_literals;
+
+TEST_CASE("one broken answer makes a proven server more likely failing than sound")
+{
+    testing::VirtualClock clock;
+    FailureEstimator estimator;
+    for (int i = 0; i < 5; ++i) {
+        estimator.observe(Evidence::Success, clock.now());
+        clock.advance(500ms);
+    }
+    REQUIRE(estimator.failureProbability(clock.now()) < 0.05);
+    estimator.observe(Evidence::BrokenAnswer, clock.now());
+    CHECK(estimator.failingProbability(clock.now()) > 0.5);
+}
+
+TEST_CASE("a failing server is trusted again after a few successes")
+{
+    testing::VirtualClock clock;
+    FailureEstimator estimator;
+    estimator.observe(Evidence::BrokenAnswer, clock.now());
+    int successes = 0;
+    while (estimator.failureProbability(clock.now()) > 0.1) {
+        estimator.observe(Evidence::Success, clock.now());
+        ++successes;
+        REQUIRE(successes < 10);
+    }
+    CHECK(successes >= 2);
+}
+
+TEST_CASE("what is known of a server fades when it gets no requests")
+{
+    testing::VirtualClock clock;
+    FailureEstimator failing;
+    FailureEstimator proven;
+    failing.observe(Evidence::BrokenAnswer, clock.now());
+    for (int i = 0; i < 5; ++i) {
+        proven.observe(Evidence::Success, clock.now());
+    }
+    clock.advance(60s);
+    const FailureEstimator unknown;
+    CHECK(failing.failureProbability(clock.now()) == doctest::Approx(proven.failureProbability(clock.now())).epsilon(0.01));
+    CHECK(failing.failureProbability(clock.now()) <= doctest::Approx(unknown.failureProbability(clock.now())).epsilon(0.3));
+}
+
+TEST_CASE("a refusal without a run says little about a server")
+{
+    testing::VirtualClock clock;
+    FailureEstimator estimator;
+    estimator.observe(Evidence::Success, clock.now());
+    estimator.observe(Evidence::Shed, clock.now());
+    CHECK(estimator.failingProbability(clock.now()) < 0.1);
+}
+
+TEST_CASE("natural errors of one in eighty requests do not make a busy server count as failing for long")
+{
+    testing::VirtualClock clock;
+    FailureEstimator estimator;
+    int suspectSteps = 0;
+    for (int i = 0; i < 800; ++i) {
+        estimator.observe(i % 80 == 79 ? Evidence::ServerError : Evidence::Success, clock.now());
+        clock.advance(500ms);
+        suspectSteps += estimator.failingProbability(clock.now()) > 0.3 ? 1 : 0;
+    }
+    CHECK(suspectSteps <= 20);
+}
--- /dev/null
+++ b/packages/balance/unittests/organisationquotatest.cpp
@@ -0,0 +1,243 @@
+#include <rhubarbtiller/balance/organisationquota.h>
+
+#include <rhubarbtiller/base/random.h>
+#include <rhubarbtiller/testing/virtualclock.h>
+
+#include <doctest/doctest.h>
+
+#include <deque>
+
+using namespace rhubarbtiller;
+using namespace rhubarbtiller::balance;
+using namespace std::chrono_literals;
+
+static const OrganisationId Org("org");
+constexpr auto Window = 5s;
+
+static catalog::Catalog catalogWith(double rate, double burst)
+{
+    catalog::CatalogParts parts;
+    parts.organisations.push_back({Org, {}, RequestRate(rate), RequestCount(burst)});
+    return catalog::Catalog(std::move(parts));
+}
+
+/// Returns the most admissions in any span of one window.
+static std::size_t mostInWindow(const std::vector<MonotonicTime> &admissions)
+{
+    std::size_t most = 0;
+    std::size_t first = 0;
+    for (std::size_t i = 0; i < admissions.size(); ++i) {
+        while (admissions[i] - admissions[first] >= Window) {
+            ++first;
+        }
+        most = std::max(most, i - first + 1);
+    }
+    return most;
+}
+
+TEST_CASE("an organisation without a rate is always admitted")
+{
+    testing::VirtualClock clock;
+    OrganisationQuota quota(Window);
+    quota.configure(catalogWith(0, 0), clock.now());
+    for (int i = 0; i < 1000; ++i) {
+        CHECK_FALSE(quota.admit(Org, clock.now()).retryAfter);
+    }
+}
+
+TEST_CASE("no window holds more than rate times window and burst")
+{
+    testing::VirtualClock clock;
+    OrganisationQuota quota(Window);
+    quota.configure(catalogWith(20, 20), clock.now());
+    std::vector<MonotonicTime> admissions;
+    for (int i = 0; i < 6000; ++i) {
+        if (!quota.admit(Org, clock.now()).retryAfter) {
+            admissions.push_back(clock.now());
+        }
+        clock.advance(5ms);
+        if (i % 30 == 0) {
+            quota.takeReport();
+        }
+    }
+    CHECK(mostInWindow(admissions) <= 120);
+    // The rate is there to be used: six windows of about 120.
+    CHECK(admissions.size() >= 600);
+}
+
+TEST_CASE("a refusal says when to come again")
+{
+    testing::VirtualClock clock;
+    OrganisationQuota quota(Window);
+    quota.configure(catalogWith(2, 0), clock.now());
+    const auto decision = quota.admit(Org, clock.now());
+    REQUIRE(decision.retryAfter);
+    CHECK(*decision.retryAfter > Duration(0));
+    CHECK(*decision.retryAfter <= Window);
+    CHECK(decision.used == doctest::Approx(10));
+}
+
+TEST_CASE("a host that has just started assumes that the rate was used before, and admits the rate at once")
+{
+    testing::VirtualClock clock;
+    OrganisationQuota quota(Window);
+    quota.configure(catalogWith(20, 20), clock.now());
+    CHECK(quota.admit(Org, clock.now()).retryAfter);
+    clock.advance(1s);
+    int admitted = 0;
+    for (int i = 0; i < 100; ++i) {
+        admitted += quota.admit(Org, clock.now()).retryAfter ? 0 : 1;
+    }
+    CHECK(admitted == 20);
+}
+
+TEST_CASE("an admission that did not run is free again")
+{
+    testing::VirtualClock clock;
+    OrganisationQuota quota(Window);
+    quota.configure(catalogWith(1, 0), clock.now());
+    clock.advance(1s);
+    REQUIRE_FALSE(quota.admit(Org, clock.now()).retryAfter);
+    REQUIRE(quota.admit(Org, clock.now()).retryAfter);
+    quota.takeBack(Org, clock.now());
+    CHECK_FALSE(quota.admit(Org, clock.now()).retryAfter);
+}
+
+TEST_CASE("the first report of another host does not count what it admitted long ago")
+{
+    testing::VirtualClock clock;
+    OrganisationQuota quota(Window);
+    quota.configure(catalogWith(20, 0), clock.now());
+    clock.advance(10s);
+    quota.onReport(HostId("other"), Incarnation(1), {{Org, 1000}}, clock.now());
+    CHECK(quota.admit(Org, clock.now()).used == doctest::Approx(0));
+    quota.onReport(HostId("other"), Incarnation(1), {{Org, 1010}}, clock.now());
+    CHECK(quota.admit(Org, clock.now()).used == doctest::Approx(11));
+    // A report that arrives late takes nothing back.
+    quota.onReport(HostId("other"), Incarnation(1), {{Org, 1005}}, clock.now());
+    CHECK(quota.admit(Org, clock.now()).used == doctest::Approx(12));
+}
+
+TEST_CASE("a part of a partitioned fleet keeps to its share")
+{
+    testing::VirtualClock clock;
+    OrganisationQuota quota(Window);
+    quota.configure(catalogWith(20, 20), clock.now());
+    quota.setHeard(1.0 / 3, 2);
+    clock.advance(20s);
+    std::vector<MonotonicTime> admissions;
+    for (int i = 0; i < 4000; ++i) {
+        if (!quota.admit(Org, clock.now()).retryAfter) {
+            admissions.push_back(clock.now());
+        }
+        quota.takeReport();
+        clock.advance(5ms);
+    }
+    CHECK(mostInWindow(admissions) <= 40);
+}
+
+namespace {
+
+/// Six hosts that send each other reports with a delay, some of which are lost.
+class QuotaFleet
+{
+public:
+    QuotaFleet(testing::VirtualClock &timeSource, std::uint64_t seed, double lossShare)
+        : clock(timeSource), random(seed), loss(lossShare), hosts(6, OrganisationQuota(Window))
+    {
+        for (auto &host : this->hosts) {
+            host.configure(catalogWith(60, 60), this->clock.now());
+            host.setHeard(1, this->hosts.size());
+        }
+    }
+
+    void step()
+    {
+        while (!this->inFlight.empty() && this->inFlight.front().arrivesAt <= this->clock.now()) {
+            const auto &message = this->inFlight.front();
+            this->hosts[message.to].onReport(HostId(std::to_string(message.from)), Incarnation(1), message.counts, this->clock.now());
+            this->inFlight.pop_front();
+        }
+        for (std::size_t from = 0; from < this->hosts.size(); ++from) {
+            const bool isDue = this->steps % 30 == from || (this->steps % 10 == 0 && this->hosts[from].hasUrgentReport());
+            if (!isDue) {
+                continue;
+            }
+            const auto counts = this->hosts[from].takeReport();
+            for (std::size_t to = 0; to < this->hosts.size() && !counts.empty(); ++to) {
+                if (to != from && static_cast<double>(this->random.below(1000)) >= this->loss * 1000) {
+                    this->inFlight.push_back({from, to, this->clock.now() + 3ms, counts});
+                }
+            }
+        }
+        ++this->steps;
+    }
+
+    OrganisationQuota &any()
+    {
+        return this->hosts[this->random.below(this->hosts.size())];
+    }
+
+private:
+    struct Message
+    {
+        std::size_t from;
+        std::size_t to;
+        MonotonicTime arrivesAt;
+        std::vector<AdmissionCount> counts;
+    };
+
+    testing::VirtualClock &clock;
+    SeededRandom random;
+    double loss;
+    std::vector<OrganisationQuota> hosts;
+    std::deque<Message> inFlight;
+    std::size_t steps = 0;
+};
+
+} // namespace
+
+TEST_CASE("six hosts together keep a flooding organisation within a tenth and twenty above its limit")
+{
+    for (const std::uint64_t seed : {1, 2, 3, 4, 5}) {
+        CAPTURE(seed);
+        testing::VirtualClock clock;
+        QuotaFleet fleet(clock, seed, 0.02);
+        std::vector<MonotonicTime> admissions;
+        int refused = 0;
+        for (int i = 0; i < 4000; ++i) {
+            fleet.step();
+            // Quiet for the first seconds, then five times the rate.
+            const int arrivals = i < 1200 ? (i % 4 == 0 ? 1 : 0) : 2;
+            for (int k = 0; k < arrivals; ++k) {
+                if (fleet.any().admit(Org, clock.now()).retryAfter) {
+                    ++refused;
+                } else {
+                    admissions.push_back(clock.now());
+                }
+            }
+            clock.advance(5ms);
+        }
+        const double limit = 60 * 5 + 60;
+        CHECK(static_cast<double>(mostInWindow(admissions)) <= limit * 1.1 + 20);
+        CHECK(refused > 0);
+    }
+}
+
+TEST_CASE("six hosts refuse nobody who stays within the rate")
+{
+    for (const std::uint64_t seed : {11, 12, 13}) {
+        CAPTURE(seed);
+        testing::VirtualClock clock;
+        QuotaFleet fleet(clock, seed, 0.02);
+        int refused = 0;
+        for (int i = 0; i < 4000; ++i) {
+            fleet.step();
+            if (i > 200 && i % 4 == 0) {
+                refused += fleet.any().admit(Org, clock.now()).retryAfter ? 1 : 0;
+            }
+            clock.advance(5ms);
+        }
+        CHECK(refused == 0);
+    }
+}
--- /dev/null
+++ b/packages/balance/unittests/placementtest.cpp
@@ -0,0 +1,203 @@
+#include <rhubarbtiller/balance/placement.h>
+
+#include <rhubarbtiller/testing/virtualclock.h>
+
+#include <doctest/doctest.h>
+
+#include <queue>
+#include <set>
+
+using namespace rhubarbtiller;
+using namespace rhubarbtiller::balance;
+using namespace std::chrono_literals;
+
+static const catalog::ServiceName Service("service");
+
+namespace {
+
+/// A service with some servers, and the state that placement reads.
+class PlacementFixture
+{
+public:
+    explicit PlacementFixture(int servers, const std::string &domain = "a")
+    {
+        catalog::CatalogParts parts;
+        parts.services.push_back({Service, SlotCount(100), RequestRate(2)});
+        this->fleet.catalog = std::make_shared<catalog::Catalog>(std::move(parts));
+        for (int i = 0; i < servers; ++i) {
+            catalog::ServerEntry entry;
+            entry.id = BackendServerId("s" + std::to_string(i));
+            entry.service = Service;
+            entry.failureDomain = FailureDomainId(domain);
+            entry.slots = SlotCount(2);
+            this->entries.push_back(entry);
+        }
+        this->update();
+        this->query.service = Service;
+        this->query.ownDomain = FailureDomainId("a");
+    }
+
+    void update()
+    {
+        this->fleet.servers = std::make_shared<catalog::ServerTable>(this->entries);
+        this->board.retain(*this->fleet.servers);
+    }
+
+    Placement choose()
+    {
+        return chooseServer(this->query, this->fleet, this->board, this->random, this->clock.now());
+    }
+
+    testing::VirtualClock clock;
+    SeededRandom random{7};
+    Scoreboard board;
+    catalog::FleetState fleet;
+    std::vector<catalog::ServerEntry> entries;
+    PlacementQuery query;
+};
+
+} // namespace
+
+TEST_CASE("draining servers, servers of evacuated domains and tried servers get nothing")
+{
+    PlacementFixture fixture(3);
+    fixture.entries[0].isDraining = true;
+    fixture.entries[1].failureDomain = FailureDomainId("b");
+    fixture.update();
+    fixture.fleet.evacuatedDomains.insert(FailureDomainId("b"));
+    for (int i = 0; i < 20; ++i) {
+        REQUIRE(fixture.choose().server != nullptr);
+        CHECK(fixture.choose().server->id.text() == "s2");
+    }
+    fixture.query.excluded.push_back(BackendServerId("s2"));
+    CHECK(fixture.choose().server == nullptr);
+    CHECK(fixture.choose().failure == PlacementFailure::NoServer);
+}
+
+TEST_CASE("work that cannot be repeated goes to servers with fresh good answers")
+{
+    PlacementFixture fixture(5);
+    fixture.board.observe(BackendServerId("s3"), Evidence::Success, fixture.clock.now());
+    CHECK(fixture.choose().server->id.text() == "s3");
+    fixture.board.observe(BackendServerId("s3"), Evidence::BrokenAnswer, fixture.clock.now());
+    CHECK(fixture.choose().server->id.text() != "s3");
+}
+
+TEST_CASE("evidence of other hosts counts like the host's own")
+{
+    PlacementFixture fixture(2);
+    fixture.board.onRemote(HostId("other"), {{BackendServerId("s0"), Evidence::BrokenAnswer}}, {}, fixture.clock.now());
+    for (int i = 0; i < 20; ++i) {
+        CHECK(fixture.choose().server->id.text() == "s1");
+    }
+}
+
+TEST_CASE("requests that can be repeated reach every sound server within seconds")
+{
+    PlacementFixture fixture(10);
+    fixture.query.canRepeat = true;
+    std::set<std::string> used;
+    for (int i = 0; i < 30; ++i) {
+        const auto placement = fixture.choose();
+        REQUIRE(placement.server != nullptr);
+        used.insert(placement.server->id.text());
+        fixture.board.onSent(placement.server->id, fixture.clock.now());
+        fixture.board.onFinished(placement.server->id);
+        fixture.board.observe(placement.server->id, Evidence::Success, fixture.clock.now());
+        fixture.clock.advance(100ms);
+    }
+    CHECK(used.size() == 10);
+}
+
+TEST_CASE("full servers, counted over all hosts, are saturated")
+{
+    PlacementFixture fixture(1);
+    fixture.board.onRemote(HostId("other"), {}, {{BackendServerId("s0"), 20}}, fixture.clock.now());
+    CHECK(fixture.choose().failure == PlacementFailure::Saturated);
+    // What a host reported holds no longer than it would repeat it.
+    fixture.clock.advance(2s);
+    CHECK(fixture.choose().server != nullptr);
+}
+
+TEST_CASE("a server that refuses connections rests for a moment")
+{
+    PlacementFixture fixture(1);
+    fixture.board.onConnectFailed(BackendServerId("s0"), fixture.clock.now());
+    CHECK(fixture.choose().server == nullptr);
+    fixture.clock.advance(2s);
+    CHECK(fixture.choose().server != nullptr);
+}
+
+TEST_CASE("a near server is preferred unless it probably fails")
+{
+    PlacementFixture fixture(2);
+    fixture.entries[1].failureDomain = FailureDomainId("b");
+    fixture.update();
+    CHECK(fixture.choose().server->id.text() == "s0");
+    fixture.board.observe(BackendServerId("s0"), Evidence::BrokenAnswer, fixture.clock.now());
+    CHECK(fixture.choose().server->id.text() == "s1");
+}
+
+TEST_CASE("the hosts of a domain together keep to the rate of a cold server")
+{
+    PlacementFixture fixture(1);
+    fixture.entries[0].coldUntil = fixture.clock.now() + 1h;
+    fixture.update();
+    fixture.query.entryHostsInDomain = 2;
+    int sent = 0;
+    for (int i = 0; i < 1000; ++i) {
+        sent += fixture.choose().server != nullptr ? 1 : 0;
+        fixture.clock.advance(10ms);
+    }
+    // One of two hosts, at 2 a second for 10 s, and the first at once.
+    CHECK(sent <= 11);
+    CHECK(sent >= 9);
+}
+
+TEST_CASE("only entry hosts of its own domain send to a cold server")
+{
+    PlacementFixture fixture(1);
+    fixture.entries[0].coldUntil = fixture.clock.now() + 1h;
+    fixture.update();
+    fixture.query.isEntryHost = false;
+    CHECK(fixture.choose().server == nullptr);
+    fixture.query.isEntryHost = true;
+    fixture.query.ownDomain = FailureDomainId("b");
+    CHECK(fixture.choose().server == nullptr);
+}
+
+TEST_CASE("a fifth of failing servers costs few requests once their first failures are known")
+{
+    // Load: 60 requests a second that cannot be repeated and 20 that can, 30 servers, 6 of which fail three in four.
+    PlacementFixture fixture(30);
+    std::set<std::string> failing{"s0", "s5", "s10", "s15", "s20", "s25"};
+    SeededRandom luck(42);
+    int lost = 0;
+    int sent = 0;
+    std::priority_queue<std::pair<MonotonicTime, std::string>, std::vector<std::pair<MonotonicTime, std::string>>, std::greater<>> running;
+    for (int i = 0; i < 800; ++i) {
+        while (!running.empty() && running.top().first <= fixture.clock.now()) {
+            fixture.board.onFinished(BackendServerId(running.top().second));
+            running.pop();
+        }
+        fixture.query.canRepeat = i % 4 == 0;
+        const auto placement = fixture.choose();
+        REQUIRE(placement.server != nullptr);
+        const auto id = placement.server->id;
+        fixture.board.onSent(id, fixture.clock.now());
+        const bool fails = failing.contains(id.text()) && luck.below(4) != 0;
+        if (fails) {
+            fixture.board.onFinished(id);
+        } else {
+            running.emplace(fixture.clock.now() + 270ms, id.text());
+        }
+        fixture.board.observe(id, fails ? Evidence::BrokenAnswer : Evidence::Success, fixture.clock.now());
+        if (!fixture.query.canRepeat) {
+            ++sent;
+            lost += fails ? 1 : 0;
+        }
+        fixture.clock.advance(Duration(1s) / 80);
+    }
+    // Spread evenly, 15 in 100 would be lost.
+    CHECK(lost * 100 <= sent * 3);
+}
--- /dev/null
+++ b/packages/balance/unittests/retrybudgettest.cpp
@@ -0,0 +1,61 @@
+#include <rhubarbtiller/balance/retrybudget.h>
+
+#include <rhubarbtiller/testing/virtualclock.h>
+
+#include <doctest/doctest.h>
+
+using namespace rhubarbtiller;
+using namespace rhubarbtiller::balance;
+using namespace std::chrono_literals;
+
+static const catalog::ServiceName Service("service");
+
+TEST_CASE("repeats stay within the ratio of the requests and the own part of the slack")
+{
+    testing::VirtualClock clock;
+    RetryBudget budget({0.2, 60, 10s});
+    budget.setSlackShare(0.1);
+    for (int i = 0; i < 100; ++i) {
+        budget.onRequest(Service, clock.now());
+    }
+    int repeats = 0;
+    while (budget.tryRepeat(Service, 0, clock.now())) {
+        ++repeats;
+        REQUIRE(repeats < 1000);
+    }
+    CHECK(repeats <= 26);
+    CHECK(repeats >= 20);
+}
+
+TEST_CASE("the budget of one service is not spent by another")
+{
+    testing::VirtualClock clock;
+    RetryBudget budget({0.2, 10, 10s});
+    budget.setSlackShare(1);
+    while (budget.tryRepeat(Service, 0, clock.now())) {
+    }
+    CHECK(budget.tryRepeat(catalog::ServiceName("other"), 0, clock.now()));
+}
+
+TEST_CASE("the budget comes back when the window has passed")
+{
+    testing::VirtualClock clock;
+    RetryBudget budget({0.2, 10, 10s});
+    budget.setSlackShare(1);
+    while (budget.tryRepeat(Service, 0, clock.now())) {
+    }
+    clock.advance(9s);
+    CHECK_FALSE(budget.tryRepeat(Service, 0, clock.now()));
+    clock.advance(2s);
+    CHECK(budget.tryRepeat(Service, 0, clock.now()));
+}
+
+TEST_CASE("less urgent requests leave a reserve of the budget")
+{
+    testing::VirtualClock clock;
+    RetryBudget budget({0.2, 100, 10s});
+    budget.setSlackShare(1);
+    while (budget.tryRepeat(Service, 0.35, clock.now())) {
+    }
+    CHECK(budget.tryRepeat(Service, 0, clock.now()));
+}
--- /dev/null
+++ b/packages/balance/unittests/weightedsplittest.cpp
@@ -0,0 +1,38 @@
+#include <rhubarbtiller/balance/weightedsplit.h>
+
+#include <doctest/doctest.h>
+
+#include <map>
+
+using namespace rhubarbtiller;
+using namespace rhubarbtiller::balance;
+
+static catalog::Route routeWith(std::vector<catalog::ServiceShare> shares)
+{
+    catalog::Route route;
+    route.name = RouteName("route");
+    route.shares = std::move(shares);
+    return route;
+}
+
+TEST_CASE("each service gets its share of every hundred requests")
+{
+    WeightedSplit split;
+    const auto route = routeWith({{catalog::ServiceName("a"), 90}, {catalog::ServiceName("b"), 10}});
+    std::map<std::string, int> counts;
+    for (int i = 0; i < 100; ++i) {
+        ++counts[split.next(route).text()];
+    }
+    CHECK(counts["a"] == 90);
+    CHECK(counts["b"] == 10);
+}
+
+TEST_CASE("new weights are in force with the next request")
+{
+    WeightedSplit split;
+    split.next(routeWith({{catalog::ServiceName("a"), 1}, {catalog::ServiceName("b"), 1}}));
+    const auto changed = routeWith({{catalog::ServiceName("b"), 1}, {catalog::ServiceName("c"), 1}});
+    for (int i = 0; i < 10; ++i) {
+        CHECK(split.next(changed).text() != "a");
+    }
+}
--- /dev/null
+++ b/packages/catalog/unittests/catalogtest.cpp
@@ -0,0 +1,66 @@
+#include <rhubarbtiller/catalog/servertable.h>
+
+#include <doctest/doctest.h>
+
+using namespace rhubarbtiller;
+using namespace rhubarbtiller::catalog;
+
+static Route route(const std::string &name, const std::string &host, const std::string &prefix)
+{
+    Route made;
+    made.name = RouteName(name);
+    made.virtualHost = host;
+    made.prefix = prefix;
+    made.shares.push_back({ServiceName("service"), 1});
+    return made;
+}
+
+static Catalog exampleCatalog()
+{
+    CatalogParts parts;
+    parts.version = ConfigVersion(7);
+    parts.routes = {route("root", "a.example", "/"), route("deep", "a.example", "/x/y/"), route("short", "a.example", "/x/"), route("other", "b.example", "/x/")};
+    parts.services.push_back({ServiceName("service"), SlotCount(10), RequestRate(2)});
+    parts.organisations.push_back({OrganisationId("org"), 1, RequestRate(5), RequestCount(3)});
+    parts.keys.emplace_back("key-1", 0);
+    parts.keys.emplace_back("key-2", 0);
+    return Catalog(std::move(parts));
+}
+
+TEST_CASE("the longest prefix of a path on its virtual host wins")
+{
+    const auto catalog = exampleCatalog();
+    CHECK(catalog.findRoute("a.example", "/x/y/z")->name.text() == "deep");
+    CHECK(catalog.findRoute("a.example", "/x/yz")->name.text() == "short");
+    CHECK(catalog.findRoute("a.example", "/x")->name.text() == "root");
+    CHECK(catalog.findRoute("b.example", "/x/y/z")->name.text() == "other");
+}
+
+TEST_CASE("a path without a route has none")
+{
+    const auto catalog = exampleCatalog();
+    CHECK(catalog.findRoute("b.example", "/y") == nullptr);
+    CHECK(catalog.findRoute("c.example", "/x/") == nullptr);
+    CHECK(catalog.findRoute("a.example", "") == nullptr);
+}
+
+TEST_CASE("each key names its organisation and an unknown key none")
+{
+    const auto catalog = exampleCatalog();
+    CHECK(catalog.findOrganisation("key-2")->id.text() == "org");
+    CHECK(catalog.findOrganisation("key-3") == nullptr);
+}
+
+TEST_CASE("a server table lists the servers of each service")
+{
+    ServerEntry first;
+    first.id = BackendServerId("s1");
+    first.service = ServiceName("one");
+    auto second = first;
+    second.id = BackendServerId("s2");
+    second.service = ServiceName("two");
+    const ServerTable table({first, second});
+    REQUIRE(table.serversOf(ServiceName("two")).size() == 1);
+    CHECK(table.entries()[table.serversOf(ServiceName("two")).front()].id.text() == "s2");
+    CHECK(table.serversOf(ServiceName("three")).empty());
+}
