--- a/apps/rhubarbtiller/gatewaymain.cpp
+++ b/apps/rhubarbtiller/gatewaymain.cpp
@@ -17,8 +17,8 @@
 
 namespace rhubarbtiller {
 
-using telemetry::LogLevel;
 using telemetry::logEvent;
+using telemetry::LogLevel;
 
 static std::optional<gateway::GatewaySettings> readSettings(const std::string &path)
 {
--- a/packages/balance/include/rhubarbtiller/balance/placement.h
+++ b/packages/balance/include/rhubarbtiller/balance/placement.h
@@ -50,10 +50,7 @@
 /// Requests that can be repeated also try servers that were not used for long, so that there is fresh evidence on all
 /// servers for the requests that cannot. Thread safety: one thread.
 /// Precondition: \p state holds a server table.
-Placement chooseServer(const PlacementQuery &query,
-                       const catalog::FleetState &state,
-                       Scoreboard &board,
-                       RandomSource &random,
-                       MonotonicTime now);
+Placement
+chooseServer(const PlacementQuery &query, const catalog::FleetState &state, Scoreboard &board, RandomSource &random, MonotonicTime now);
 
 } // namespace rhubarbtiller::balance
--- a/packages/balance/lib/organisationquota.cpp
+++ b/packages/balance/lib/organisationquota.cpp
@@ -113,10 +113,7 @@
     return counts;
 }
 
-void OrganisationQuota::onReport(const HostId &host,
-                                 Incarnation incarnation,
-                                 const std::vector<AdmissionCount> &counts,
-                                 MonotonicTime now)
+void OrganisationQuota::onReport(const HostId &host, Incarnation incarnation, const std::vector<AdmissionCount> &counts, MonotonicTime now)
 {
     auto &remote = this->remotes[host];
     if (remote.incarnation != incarnation) {
--- a/packages/balance/lib/placement.cpp
+++ b/packages/balance/lib/placement.cpp
@@ -33,7 +33,8 @@
 static constexpr double UsableFailureProbability = 0.5;
 
 /// Returns whether the server may get one more request while it is cold; takes the right if \p takes.
-static bool coldServerAccepts(const catalog::Service *service, ServerState &state, const PlacementQuery &query, bool takes, MonotonicTime now)
+static bool
+coldServerAccepts(const catalog::Service *service, ServerState &state, const PlacementQuery &query, bool takes, MonotonicTime now)
 {
     if (service == nullptr || service->coldRate.count() <= 0) {
         return true;
@@ -52,7 +53,8 @@
     return true;
 }
 
-static double cost(const PlacementQuery &query, const catalog::ServerEntry &server, const ServerState &state, const Placement &figures, MonotonicTime now)
+static double
+cost(const PlacementQuery &query, const catalog::ServerEntry &server, const ServerState &state, const Placement &figures, MonotonicTime now)
 {
     const double slots = std::max(1U, server.slots.count());
     double sum = figures.failureProbability * (query.canRepeat ? RepeatCost : LostRequestCost);
@@ -70,7 +72,8 @@
     return sum + (figures.isCold ? ColdCost : 0);
 }
 
-Placement chooseServer(const PlacementQuery &query, const catalog::FleetState &fleet, Scoreboard &board, RandomSource &random, MonotonicTime now)
+Placement
+chooseServer(const PlacementQuery &query, const catalog::FleetState &fleet, Scoreboard &board, RandomSource &random, MonotonicTime now)
 {
     assert(fleet.servers && "placement needs a server table");
     const auto *const service = fleet.catalog ? fleet.catalog->findService(query.service) : nullptr;
--- a/packages/balance/unittests/retrybudgettest.cpp
+++ b/packages/balance/unittests/retrybudgettest.cpp
@@ -32,8 +32,7 @@
     testing::VirtualClock clock;
     RetryBudget budget({0.2, 10, 10s});
     budget.setSlackShare(1);
-    while (budget.tryRepeat(Service, 0, clock.now())) {
-    }
+    while (budget.tryRepeat(Service, 0, clock.now())) { }
     CHECK(budget.tryRepeat(catalog::ServiceName("other"), 0, clock.now()));
 }
 
@@ -42,8 +41,7 @@
     testing::VirtualClock clock;
     RetryBudget budget({0.2, 10, 10s});
     budget.setSlackShare(1);
-    while (budget.tryRepeat(Service, 0, clock.now())) {
-    }
+    while (budget.tryRepeat(Service, 0, clock.now())) { }
     clock.advance(9s);
     CHECK_FALSE(budget.tryRepeat(Service, 0, clock.now()));
     clock.advance(2s);
@@ -55,7 +53,6 @@
     testing::VirtualClock clock;
     RetryBudget budget({0.2, 100, 10s});
     budget.setSlackShare(1);
-    while (budget.tryRepeat(Service, 0.35, clock.now())) {
-    }
+    while (budget.tryRepeat(Service, 0.35, clock.now())) { }
     CHECK(budget.tryRepeat(Service, 0, clock.now()));
 }
--- a/packages/catalog/unittests/catalogtest.cpp
+++ b/packages/catalog/unittests/catalogtest.cpp
@@ -19,7 +19,10 @@
 {
     CatalogParts parts;
     parts.version = ConfigVersion(7);
-    parts.routes = {route("root", "a.example", "/"), route("deep", "a.example", "/x/y/"), route("short", "a.example", "/x/"), route("other", "b.example", "/x/")};
+    parts.routes = {route("root", "a.example", "/"),
+                    route("deep", "a.example", "/x/y/"),
+                    route("short", "a.example", "/x/"),
+                    route("other", "b.example", "/x/")};
     parts.services.push_back({ServiceName("service"), SlotCount(10), RequestRate(2)});
     parts.organisations.push_back({OrganisationId("org"), 1, RequestRate(5), RequestCount(3)});
     parts.keys.emplace_back("key-1", 0);
--- a/packages/gateway/lib/gatewayprocess.cpp
+++ b/packages/gateway/lib/gatewayprocess.cpp
@@ -16,8 +16,8 @@
 namespace rhubarbtiller::gateway {
 
 using std::chrono::milliseconds;
-using telemetry::LogLevel;
 using telemetry::logEvent;
+using telemetry::LogLevel;
 
 /// Callers keep connections idle for a while by their own rules; the server lets them decide.
 static constexpr milliseconds CallerIdleTime{120'000};
--- a/packages/gateway/lib/peerlink.cpp
+++ b/packages/gateway/lib/peerlink.cpp
@@ -214,10 +214,11 @@
     const bool isEntry = directory.isEntryHost(now);
     if (isEntry != this->isEntryHost) {
         this->isEntryHost = isEntry;
-        telemetry::logEvent(telemetry::LogLevel::Info,
-                            isEntry ? "became_entry_host" : "became_standby",
-                            {{"rank", static_cast<std::uint64_t>(directory.ownRank(now))},
-                             {"living_in_domain", static_cast<std::uint64_t>(directory.livingHosts(directory.own().failureDomain, now).size())}});
+        telemetry::logEvent(
+            telemetry::LogLevel::Info,
+            isEntry ? "became_entry_host" : "became_standby",
+            {{"rank", static_cast<std::uint64_t>(directory.ownRank(now))},
+             {"living_in_domain", static_cast<std::uint64_t>(directory.livingHosts(directory.own().failureDomain, now).size())}});
         this->nextBeatAt = now;
     }
     const bool serves = isEntry || now - this->parts.lastServedAt() < ServingMemory;
@@ -234,14 +235,16 @@
         const bool isAlone = peers == 0 && directory.knownHosts(now).size() > 1;
         this->aloneSince = isAlone ? std::min(this->aloneSince, now) : MonotonicTime::max();
         // The others replace a host that is cut off from them, and its callers go there.
-        const double alonePart = isAlone && now - this->aloneSince >= ReplacementTime ? 0.5 / static_cast<double>(directory.knownHosts(now).size()) : 1;
+        const double alonePart
+            = isAlone && now - this->aloneSince >= ReplacementTime ? 0.5 / static_cast<double>(directory.knownHosts(now).size()) : 1;
         this->parts.quota.setHeard(std::min({1.0, heard / expected, alonePart}), peers + 1);
         this->parts.retries.setSlackShare(EntrySlackPart / expected);
         return;
     }
     // A host that served nobody lately gets no reports until it does.
     this->parts.quota.setHeard(0.5 / expected, 1);
-    this->parts.retries.setSlackShare((1 - EntrySlackPart) / static_cast<double>(std::max<std::size_t>(1, living) * this->parts.failureDomains.size()));
+    this->parts.retries.setSlackShare((1 - EntrySlackPart)
+                                      / static_cast<double>(std::max<std::size_t>(1, living) * this->parts.failureDomains.size()));
 }
 
 wire::HostBeat PeerLink::ownBeat() const
--- a/packages/gateway/lib/settings.cpp
+++ b/packages/gateway/lib/settings.cpp
@@ -36,7 +36,8 @@
     for (auto &domain : reader.texts("failureDomains", {})) {
         settings.failureDomains.emplace_back(std::move(domain));
     }
-    if (std::find(settings.failureDomains.begin(), settings.failureDomains.end(), settings.failureDomain) == settings.failureDomains.end()) {
+    if (std::find(settings.failureDomains.begin(), settings.failureDomains.end(), settings.failureDomain)
+        == settings.failureDomains.end()) {
         settings.failureDomains.push_back(settings.failureDomain);
     }
     settings.callerAddress = Endpoint(reader.endpoint("callerAddress", true));
@@ -51,14 +52,14 @@
     constexpr unsigned MaxEntryHosts = 64;
     settings.entryHostsPerDomain
         = static_cast<unsigned>(reader.integer("entryHostsPerDomain", settings.entryHostsPerDomain, 1, MaxEntryHosts));
-    settings.addressLifetime
-        = reader.milliseconds("addressLifetimeMs", settings.addressLifetime, milliseconds(100), milliseconds(60'000));
+    settings.addressLifetime = reader.milliseconds("addressLifetimeMs", settings.addressLifetime, milliseconds(100), milliseconds(60'000));
     constexpr double MaxGraceSeconds = 600;
     const double grace = reader.number("stopGraceSeconds", std::chrono::duration<double>(settings.stopGrace).count(), 0, MaxGraceSeconds);
     settings.stopGrace = std::chrono::duration_cast<milliseconds>(std::chrono::duration<double>(grace));
     settings.retryBudget = readRetryBudget(reader.object("retryBudget", false), reader.pathOf("retryBudget"), problems);
     constexpr double MaxWindowSeconds = 3600;
-    const double window = reader.number("quotaWindowSeconds", std::chrono::duration<double>(settings.quotaWindow).count(), 0.1, MaxWindowSeconds);
+    const double window
+        = reader.number("quotaWindowSeconds", std::chrono::duration<double>(settings.quotaWindow).count(), 0.1, MaxWindowSeconds);
     settings.quotaWindow = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(window));
     settings.logLevel = reader.choice("logLevel", settings.logLevel, {"debug", "info", "warning", "error"});
     reader.finish();
--- a/packages/gateway/lib/statesync.cpp
+++ b/packages/gateway/lib/statesync.cpp
@@ -8,8 +8,8 @@
 
 namespace rhubarbtiller::gateway {
 
-using telemetry::LogLevel;
 using telemetry::logEvent;
+using telemetry::LogLevel;
 
 /// How long one call waits for changes. A connection that fell silent is noticed soon after, within the 2 s in which a
 /// change has to be in force.
@@ -220,8 +220,7 @@
     http::HttpCall call;
     call.server = peer.controlAddress;
     call.request.method = "GET";
-    call.request.target
-        = "/replica/" + std::string(tableWord(state.table)) + "?after=" + std::to_string(state.replica.version());
+    call.request.target = "/replica/" + std::string(tableWord(state.table)) + "?after=" + std::to_string(state.replica.version());
     call.deadline = this->parts.clock.now() + PullTimeout;
     call.maxAnswer = ByteCount(64 * 1024 * 1024);
     this->parts.peers.send(std::move(call), [this, &state, host = peer.host](const http::HttpOutcome &outcome) {
--- /dev/null
+++ b/packages/gateway/unittests/answerparsertest.cpp
@@ -0,0 +1,77 @@
+#include "answerparser.h"
+
+#include <doctest/doctest.h>
+
+using namespace rhubarbtiller;
+using namespace rhubarbtiller::gateway;
+
+TEST_CASE("an answer ends where its length says, and further bytes are left")
+{
+    AnswerParser parser(false);
+    const std::string first = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nX: y\r\n\r\nabc";
+    CHECK(parser.accept(first + "HTTP/1.1 200 OK\r\n") == first.size());
+    REQUIRE(parser.isComplete());
+    CHECK(parser.keepsAlive());
+    const auto response = parser.take();
+    CHECK(response.body == "abc");
+    CHECK(findHeader(response.headers, "x") == "y");
+}
+
+TEST_CASE("an answer may come byte by byte and in chunks")
+{
+    AnswerParser parser(false);
+    const std::string text = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+    for (const char letter : text) {
+        REQUIRE_FALSE(parser.isComplete());
+        CHECK(parser.accept(std::string_view(&letter, 1)) == 1);
+    }
+    REQUIRE(parser.isComplete());
+    CHECK(parser.take().body == "abcde");
+}
+
+TEST_CASE("an answer without a body is complete at the end of its header")
+{
+    AnswerParser parser(false);
+    const std::string text = "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n";
+    CHECK(parser.accept(text) == text.size());
+    CHECK(parser.isComplete());
+}
+
+TEST_CASE("an interim answer is passed over")
+{
+    AnswerParser parser(false);
+    parser.accept("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx");
+    REQUIRE(parser.isComplete());
+    CHECK(parser.take().status == 200);
+}
+
+TEST_CASE("an answer without a length ends with its connection and keeps none")
+{
+    AnswerParser parser(false);
+    parser.accept("HTTP/1.1 200 OK\r\n\r\npart");
+    CHECK_FALSE(parser.isComplete());
+    CHECK(parser.finish());
+    CHECK_FALSE(parser.keepsAlive());
+    CHECK(parser.take().body == "part");
+}
+
+TEST_CASE("an answer that breaks off is not complete")
+{
+    AnswerParser parser(false);
+    parser.accept("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\npart");
+    CHECK_FALSE(parser.finish());
+}
+
+TEST_CASE("bytes that are no answer are malformed")
+{
+    AnswerParser parser(false);
+    parser.accept("garbage garbage\r\n\r\n");
+    CHECK(parser.isMalformed());
+}
+
+TEST_CASE("the answer to a HEAD has no body")
+{
+    AnswerParser parser(true);
+    parser.accept("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n");
+    CHECK(parser.isComplete());
+}
--- /dev/null
+++ b/packages/gateway/unittests/fakes.h
@@ -0,0 +1,175 @@
+#pragma once
+
+#include <rhubarbtiller/gateway/dialect.h>
+#include <rhubarbtiller/gateway/statesource.h>
+
+#include <charconv>
+#include <deque>
+
+namespace rhubarbtiller::gateway {
+
+/// A dialect with plain header names, so that the tests of the gateway do not depend on a platform.
+class PlainDialect : public Dialect
+{
+public:
+    std::variant<CallerRequest, Refusal> decode(http::HttpRequest message) const override
+    {
+        CallerRequest request;
+        request.id = RequestId(std::string(findHeader(message.headers, "Id")));
+        if (request.id.isEmpty()) {
+            return Refusal{RefusalReason::Malformed, true, {}};
+        }
+        request.virtualHost = std::string(findHeader(message.headers, "Host"));
+        request.path = message.target;
+        if (const auto key = findHeader(message.headers, "Key"); !key.empty()) {
+            request.key = std::string(key);
+        }
+        const auto patience = findHeader(message.headers, "Patience");
+        int milliseconds = 0;
+        if (std::from_chars(patience.data(), patience.data() + patience.size(), milliseconds).ec == std::errc()) {
+            request.patience = std::chrono::milliseconds(milliseconds);
+        }
+        removeHeader(message.headers, "Key");
+        removeHeader(message.headers, "Content-Length");
+        request.message = std::move(message);
+        return request;
+    }
+
+    http::HttpRequest attempt(const CallerRequest &request, const AttemptHead &head) const override
+    {
+        auto message = request.message;
+        message.headers.push_back({"Server", head.server.text()});
+        return message;
+    }
+
+    AnswerOwner ownerOf(const http::HttpResponse &response, const RequestId &request) const override
+    {
+        const auto id = findHeader(response.headers, "Id");
+        if (id.empty()) {
+            return AnswerOwner::Unmarked;
+        }
+        return id == request.text() ? AnswerOwner::ThisRequest : AnswerOwner::OtherRequest;
+    }
+
+    AnswerMeaning meaningOf(const http::HttpResponse &response) const override
+    {
+        if (!findHeader(response.headers, "Not-Run").empty()) {
+            return AnswerMeaning::NotRun;
+        }
+        return response.status >= 500 ? AnswerMeaning::RanAndFailed : AnswerMeaning::Ran;
+    }
+
+    http::HttpResponse callerAnswer(http::HttpResponse response) const override
+    {
+        return response;
+    }
+
+    http::HttpResponse refusal(const Refusal &refusal, const RequestId &) const override
+    {
+        return {refusal.isNotRun ? 503 : 502, {{"Reason", std::string(refusalWord(refusal.reason))}}, {}};
+    }
+
+    std::optional<Duration> announcedIdleTime(const http::HttpResponse &) const override
+    {
+        return std::nullopt;
+    }
+
+    std::optional<FailureDomainId> addressQuestion(const http::HttpRequest &) const override
+    {
+        return std::nullopt;
+    }
+
+    http::HttpResponse addressAnswer(const std::vector<Endpoint> &, Duration) const override
+    {
+        return {};
+    }
+
+    bool isReadinessQuestion(const http::HttpRequest &) const override
+    {
+        return false;
+    }
+};
+
+/// A store whose answers the test gives by hand.
+class FakeSource : public StateSource
+{
+public:
+    struct Call
+    {
+        SourceTable table;
+        bool isWhole;
+        std::uint64_t after;
+        BatchHandler handler;
+    };
+
+    void read(SourceTable table, BatchHandler handler) override
+    {
+        this->calls.push_back({table, true, 0, std::move(handler)});
+    }
+
+    void follow(SourceTable table, std::uint64_t after, std::chrono::milliseconds, BatchHandler handler) override
+    {
+        this->calls.push_back({table, false, after, std::move(handler)});
+    }
+
+    void write(SourceTable, std::string, std::string, WriteHandler handler) override
+    {
+        handler({});
+    }
+
+    /// Answers the oldest call for a table. Precondition: there is one.
+    void answer(SourceTable table, const Result<SourceBatch> &result)
+    {
+        const auto found = std::find_if(this->calls.begin(), this->calls.end(), [table](const Call &call) {
+            return call.table == table;
+        });
+        const auto handler = found->handler;
+        this->calls.erase(found);
+        handler(result);
+    }
+
+    /// Returns the oldest call for a table, or nullptr.
+    const Call *pending(SourceTable table) const
+    {
+        const auto found = std::find_if(this->calls.begin(), this->calls.end(), [table](const Call &call) {
+            return call.table == table;
+        });
+        return found == this->calls.end() ? nullptr : &*found;
+    }
+
+    std::deque<Call> calls;
+};
+
+/// Takes the value of a server row as its state, and the value of the row "config" as a version.
+class PlainDecoder : public StateDecoder
+{
+public:
+    std::shared_ptr<const catalog::Catalog> catalog(const HeldRows &rows) const override
+    {
+        const auto row = rows.find("config");
+        if (row == rows.end()) {
+            return nullptr;
+        }
+        catalog::CatalogParts parts;
+        parts.version = ConfigVersion(std::stoull(row->second.value));
+        return std::make_shared<const catalog::Catalog>(std::move(parts));
+    }
+
+    std::set<FailureDomainId> evacuatedDomains(const HeldRows &) const override
+    {
+        return {};
+    }
+
+    std::optional<catalog::ServerEntry> server(const std::string &key, const HeldRow &row) const override
+    {
+        if (row.value == "odd") {
+            return std::nullopt;
+        }
+        catalog::ServerEntry entry;
+        entry.id = BackendServerId(key);
+        entry.isDraining = row.value == "draining";
+        return entry;
+    }
+};
+
+} // namespace rhubarbtiller::gateway
--- /dev/null
+++ b/packages/gateway/unittests/requestflowtest.cpp
@@ -0,0 +1,370 @@
+#include "requestflow.h"
+#include "fakes.h"
+
+#include <rhubarbtiller/testing/virtualclock.h>
+
+#include <doctest/doctest.h>
+
+using namespace rhubarbtiller;
+using namespace rhubarbtiller::gateway;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Remembers what a caller gets.
+class FakeResponder : public http::Responder
+{
+public:
+    void respond(http::HttpResponse answer) override
+    {
+        REQUIRE_FALSE(this->response);
+        this->response = std::move(answer);
+    }
+
+    void onDisconnect(std::function<void()> handler) override
+    {
+        this->disconnect = std::move(handler);
+    }
+
+    std::optional<http::HttpResponse> response;
+    std::function<void()> disconnect;
+};
+
+/// Servers whose answers the test gives by hand.
+class FakeBackend : public BackendClient
+{
+public:
+    struct Sent
+    {
+        BackendCall call;
+        Handler handler;
+        bool isCancelled = false;
+    };
+
+    std::shared_ptr<BackendAttempt> send(BackendCall call, Handler handler) override
+    {
+        this->sent.push_back(std::make_shared<Sent>(Sent{std::move(call), std::move(handler), false}));
+        return std::make_shared<Attempt>(this->sent.back());
+    }
+
+    void retain(const std::function<bool(const BackendServerId &)> &) override
+    {
+    }
+
+    std::uint64_t connectionsOpened() const override
+    {
+        return 0;
+    }
+
+    std::vector<std::shared_ptr<Sent>> sent;
+
+private:
+    class Attempt : public BackendAttempt
+    {
+    public:
+        explicit Attempt(std::shared_ptr<Sent> made) : entry(std::move(made))
+        {
+        }
+
+        void cancel() override
+        {
+            this->entry->isCancelled = true;
+            this->entry->handler = nullptr;
+        }
+
+        bool wasSent() const override
+        {
+            return true;
+        }
+
+    private:
+        std::shared_ptr<Sent> entry;
+    };
+};
+
+/// A gateway host with two routes on one service, on a virtual clock except for the timers.
+class FlowFixture
+{
+public:
+    explicit FlowFixture(int servers = 4)
+    {
+        catalog::CatalogParts parts;
+        parts.version = ConfigVersion(1);
+        parts.services.push_back({catalog::ServiceName("service"), SlotCount(10), RequestRate(2)});
+        parts.routes
+            = {this->route("/read/", catalog::Repeatability::Idempotent, 2), this->route("/write/", catalog::Repeatability::AtMostOnce, 1)};
+        parts.organisations.push_back({OrganisationId("org"), {}, RequestRate(0), RequestCount(0)});
+        parts.keys.emplace_back("key", 0);
+        auto fleet = std::make_shared<catalog::FleetState>();
+        fleet->catalog = std::make_shared<catalog::Catalog>(std::move(parts));
+        std::vector<catalog::ServerEntry> entries;
+        for (int i = 0; i < servers; ++i) {
+            catalog::ServerEntry entry;
+            entry.id = BackendServerId("s" + std::to_string(i));
+            entry.service = catalog::ServiceName("service");
+            entry.failureDomain = FailureDomainId("a");
+            entry.slots = SlotCount(1);
+            entries.push_back(entry);
+        }
+        fleet->servers = std::make_shared<catalog::ServerTable>(entries);
+        this->board.retain(*fleet->servers);
+        this->state.publish(fleet);
+        this->retries.setSlackShare(1);
+    }
+
+    static catalog::Route route(const std::string &prefix, catalog::Repeatability repeatability, int priority)
+    {
+        catalog::Route made;
+        made.name = RouteName(prefix);
+        made.virtualHost = "host";
+        made.prefix = prefix;
+        made.repeatability = repeatability;
+        made.timeLimit = 2s;
+        made.priority = priority;
+        made.shares.push_back({catalog::ServiceName("service"), 1});
+        made.maxAttempts = 2;
+        return made;
+    }
+
+    std::shared_ptr<FakeResponder> ask(const std::string &path, const std::string &patience = "2000", const std::string &key = "key")
+    {
+        http::HttpRequest request;
+        request.method = "POST";
+        request.target = path;
+        request.headers = {{"Host", "host"}, {"Id", "r" + std::to_string(++this->requests)}, {"Patience", patience}, {"Key", key}};
+        auto responder = std::make_shared<FakeResponder>();
+        std::make_shared<RequestFlow>(this->flow, responder)->start(std::move(request));
+        return responder;
+    }
+
+    void end(std::size_t number, AttemptEnd end, http::HttpResponse response = {})
+    {
+        REQUIRE(number < this->backend.sent.size());
+        const auto handler = std::exchange(this->backend.sent[number]->handler, nullptr);
+        REQUIRE(handler);
+        AttemptOutcome outcome;
+        outcome.end = end;
+        outcome.response = std::move(response);
+        handler(std::move(outcome));
+        this->context.restart();
+        this->context.poll();
+    }
+
+    /// Moves the time and lets timers run that are due by then.
+    void pass(std::chrono::milliseconds time)
+    {
+        this->clock.advance(time);
+        this->context.restart();
+        this->context.run_for(time + 50ms);
+    }
+
+    asio::io_context context;
+    testing::VirtualClock clock;
+    SeededRandom random{5};
+    PlainDialect dialect;
+    FakeBackend backend;
+    RcuCell<catalog::FleetState> state;
+    balance::Scoreboard board;
+    balance::OrganisationQuota quota{5s};
+    balance::RetryBudget retries{{0.2, 100, 10s}};
+    balance::WeightedSplit split;
+    balance::HostDirectory directory{{HostId("own"), FailureDomainId("a"), {}, {}, {}, Incarnation(1), false, false, false, 250ms}, 2};
+    telemetry::Metrics metrics;
+    FlowContext flow{this->context,
+                     this->clock,
+                     this->random,
+                     this->dialect,
+                     this->backend,
+                     this->state,
+                     this->board,
+                     this->quota,
+                     this->retries,
+                     this->split,
+                     this->directory,
+                     this->metrics,
+                     [] {
+                     },
+                     0};
+    int requests = 0;
+};
+
+} // namespace
+
+static std::string reasonOf(const FakeResponder &responder)
+{
+    return std::string(findHeader(responder.response->headers, "Reason"));
+}
+
+TEST_CASE("a server's answer is passed on")
+{
+    FlowFixture fixture;
+    const auto caller = fixture.ask("/write/x");
+    fixture.end(0, AttemptEnd::Answered, {200, {}, "body"});
+    CHECK(caller->response->status == 200);
+    CHECK(caller->response->body == "body");
+}
+
+TEST_CASE("a request that may have run and cannot be repeated is not sent again")
+{
+    FlowFixture fixture;
+    const auto caller = fixture.ask("/write/x");
+    fixture.end(0, AttemptEnd::Broken);
+    CHECK(fixture.backend.sent.size() == 1);
+    REQUIRE(caller->response);
+    // The answer promises nothing.
+    CHECK(caller->response->status == 502);
+}
+
+TEST_CASE("a request that a server refused without running it goes to another server")
+{
+    FlowFixture fixture;
+    const auto caller = fixture.ask("/write/x");
+    fixture.end(0, AttemptEnd::Answered, {503, {{"Not-Run", "1"}}, {}});
+    REQUIRE(fixture.backend.sent.size() == 2);
+    CHECK(fixture.backend.sent[0]->call.server != fixture.backend.sent[1]->call.server);
+    fixture.end(1, AttemptEnd::Answered, {200, {}, {}});
+    CHECK(caller->response->status == 200);
+}
+
+TEST_CASE("a failed connection sends nothing, so that any request goes to another server")
+{
+    FlowFixture fixture;
+    const auto caller = fixture.ask("/write/x");
+    fixture.end(0, AttemptEnd::NotConnected);
+    REQUIRE(fixture.backend.sent.size() == 2);
+    fixture.end(1, AttemptEnd::Broken);
+    CHECK(fixture.backend.sent.size() == 2);
+    CHECK(caller->response->status == 502);
+}
+
+TEST_CASE("an idempotent request runs on no more servers than its route allows")
+{
+    FlowFixture fixture;
+    const auto caller = fixture.ask("/read/x");
+    fixture.end(0, AttemptEnd::Broken);
+    fixture.end(1, AttemptEnd::Broken);
+    CHECK(fixture.backend.sent.size() == 2);
+    CHECK(caller->response->status == 502);
+}
+
+TEST_CASE("a failure that a server reported is passed on when no other server does better")
+{
+    FlowFixture fixture;
+    const auto caller = fixture.ask("/read/x");
+    fixture.end(0, AttemptEnd::Answered, {500, {}, "first"});
+    fixture.end(1, AttemptEnd::Broken);
+    CHECK(caller->response->status == 500);
+    CHECK(caller->response->body == "first");
+}
+
+TEST_CASE("a slow idempotent request is sent to a second server, and the first answer wins")
+{
+    FlowFixture fixture;
+    const auto caller = fixture.ask("/read/x");
+    fixture.pass(700ms);
+    REQUIRE(fixture.backend.sent.size() == 2);
+    fixture.end(1, AttemptEnd::Answered, {200, {}, "second"});
+    CHECK(caller->response->body == "second");
+    CHECK(fixture.backend.sent[0]->isCancelled);
+}
+
+TEST_CASE("a slow request that cannot be repeated is not sent to a second server")
+{
+    FlowFixture fixture;
+    const auto caller = fixture.ask("/write/x");
+    fixture.pass(1000ms);
+    CHECK(fixture.backend.sent.size() == 1);
+    fixture.end(0, AttemptEnd::Answered, {200, {}, {}});
+    CHECK(caller->response->status == 200);
+}
+
+TEST_CASE("when the time is over the caller gets an answer and the server is released")
+{
+    FlowFixture fixture;
+    const auto caller = fixture.ask("/write/x", "300");
+    fixture.pass(300ms);
+    REQUIRE(caller->response);
+    // It may have run.
+    CHECK(caller->response->status == 502);
+    CHECK(reasonOf(*caller) == "deadline_passed");
+    CHECK(fixture.backend.sent[0]->isCancelled);
+}
+
+TEST_CASE("a caller that leaves releases its server")
+{
+    FlowFixture fixture;
+    const auto caller = fixture.ask("/read/x");
+    caller->disconnect();
+    CHECK(fixture.backend.sent[0]->isCancelled);
+    CHECK_FALSE(caller->response);
+    CHECK(fixture.board.state(fixture.backend.sent[0]->call.server).ownOutstanding == 0);
+}
+
+TEST_CASE("without a configuration a request is refused as not run")
+{
+    FlowFixture fixture;
+    fixture.state.publish(std::make_shared<catalog::FleetState>());
+    const auto caller = fixture.ask("/read/x");
+    CHECK(caller->response->status == 503);
+    CHECK(reasonOf(*caller) == "no_configuration");
+}
+
+TEST_CASE("an unknown key and an unknown route are refused before anything is sent")
+{
+    FlowFixture fixture;
+    CHECK(reasonOf(*fixture.ask("/read/x", "2000", "other")) == "unknown_key");
+    CHECK(reasonOf(*fixture.ask("/elsewhere", "2000")) == "no_route");
+    CHECK(fixture.backend.sent.empty());
+}
+
+TEST_CASE("requests beyond the slots wait for one, the more urgent first")
+{
+    FlowFixture fixture(1);
+    std::vector<std::shared_ptr<FakeResponder>> busy;
+    while (true) {
+        const auto before = fixture.backend.sent.size();
+        busy.push_back(fixture.ask("/write/x"));
+        if (fixture.backend.sent.size() == before) {
+            break;
+        }
+    }
+    const auto full = fixture.backend.sent.size();
+    CHECK_FALSE(busy.back()->response);
+    const auto lessUrgent = fixture.ask("/read/x");
+    const auto moreUrgent = fixture.ask("/write/x");
+    fixture.end(0, AttemptEnd::Answered, {200, {}, {}});
+    REQUIRE(fixture.backend.sent.size() == full + 1);
+    CHECK(fixture.backend.sent.back()->call.message.target == "/write/x");
+    fixture.end(1, AttemptEnd::Answered, {200, {}, {}});
+    REQUIRE(fixture.backend.sent.size() == full + 2);
+    CHECK(fixture.backend.sent.back()->call.message.target == "/write/x");
+}
+
+TEST_CASE("what the servers cannot start in time is refused at once as not run")
+{
+    FlowFixture fixture(1);
+    int refused = 0;
+    for (int i = 0; i < 40; ++i) {
+        const auto caller = fixture.ask("/write/x");
+        if (caller->response) {
+            CHECK(caller->response->status == 503);
+            CHECK(reasonOf(*caller) == "saturated");
+            ++refused;
+        }
+    }
+    CHECK(refused > 20);
+}
+
+TEST_CASE("a caller that leaves while it waits gives its place up")
+{
+    FlowFixture fixture(1);
+    std::shared_ptr<FakeResponder> last;
+    std::size_t before = 0;
+    do {
+        before = fixture.backend.sent.size();
+        last = fixture.ask("/write/x");
+    } while (fixture.backend.sent.size() > before);
+    last->disconnect();
+    CHECK(fixture.flow.line.isEmpty());
+    CHECK(fixture.flow.waiting.empty());
+}
--- /dev/null
+++ b/packages/gateway/unittests/tablereplicatest.cpp
@@ -0,0 +1,93 @@
+#include "tablereplica.h"
+
+#include <rhubarbtiller/testing/virtualclock.h>
+
+#include <doctest/doctest.h>
+
+using namespace rhubarbtiller;
+using namespace rhubarbtiller::gateway;
+using namespace std::chrono_literals;
+
+static SourceBatch batch(std::uint64_t version, std::vector<SourceRow> rows)
+{
+    return {std::move(rows), version};
+}
+
+TEST_CASE("changes are applied in order, and a removed row is gone")
+{
+    testing::VirtualClock clock;
+    TableReplica replica;
+    CHECK(replica.replace(batch(5, {{"a", "1", 3, false}, {"b", "1", 5, false}}), clock.now()));
+    CHECK(replica.apply(batch(7, {{"a", "2", 6, false}, {"b", "", 7, true}}), clock.now()));
+    CHECK(replica.rows().size() == 1);
+    CHECK(replica.rows().at("a").value == "2");
+    CHECK(replica.removedRows().contains("b"));
+    CHECK(replica.version() == 7);
+}
+
+TEST_CASE("a removal that carries the version of the row it removes is applied")
+{
+    testing::VirtualClock clock;
+    TableReplica replica;
+    replica.replace(batch(5, {{"a", "1", 3, false}}), clock.now());
+    CHECK(replica.apply(batch(9, {{"a", "", 3, true}}), clock.now()));
+    CHECK(replica.rows().empty());
+}
+
+TEST_CASE("a stale read of the whole table does not take the copy back")
+{
+    testing::VirtualClock clock;
+    TableReplica replica;
+    replica.replace(batch(10, {{"a", "new", 9, false}}), clock.now());
+    CHECK_FALSE(replica.replace(batch(8, {{"a", "old", 4, false}, {"b", "1", 5, false}}), clock.now()));
+    CHECK(replica.rows().size() == 1);
+    CHECK(replica.rows().at("a").value == "new");
+}
+
+TEST_CASE("a read of the whole table drops the rows that it lacks")
+{
+    testing::VirtualClock clock;
+    TableReplica replica;
+    replica.replace(batch(10, {{"a", "1", 9, false}, {"b", "1", 10, false}}), clock.now());
+    CHECK(replica.replace(batch(12, {{"a", "1", 9, false}}), clock.now()));
+    CHECK_FALSE(replica.rows().contains("b"));
+}
+
+TEST_CASE("an answer without changes moves the position and not the version")
+{
+    testing::VirtualClock clock;
+    TableReplica replica;
+    replica.replace(batch(10, {{"a", "1", 9, false}}), clock.now());
+    CHECK_FALSE(replica.apply(batch(20, {}), clock.now()));
+    CHECK(replica.position() == 20);
+    CHECK(replica.version() == 10);
+}
+
+TEST_CASE("a peer takes over what it lacks, with the age of the rows and the removals")
+{
+    testing::VirtualClock clock;
+    TableReplica ahead;
+    TableReplica behind;
+    ahead.replace(batch(5, {{"a", "1", 3, false}, {"b", "1", 5, false}}), clock.now());
+    REQUIRE(behind.adopt(ahead.answer(behind.version(), clock.now()), clock.now()));
+    const auto firstSeen = clock.now();
+    clock.advance(2s);
+    ahead.apply(batch(8, {{"b", "", 8, true}, {"c", "1", 7, false}}), clock.now());
+    const auto answer = ahead.answer(behind.version(), clock.now());
+    CHECK(answer.rows.size() == 1);
+    CHECK(behind.adopt(answer, clock.now()));
+    CHECK(behind.rows().size() == 2);
+    CHECK(behind.rows().at("a").receivedAt == firstSeen);
+    CHECK(behind.removedRows().contains("b"));
+}
+
+TEST_CASE("a peer that is behind changes nothing")
+{
+    testing::VirtualClock clock;
+    TableReplica ahead;
+    TableReplica behind;
+    behind.replace(batch(5, {{"a", "1", 3, false}}), clock.now());
+    ahead.replace(batch(9, {{"a", "2", 8, false}}), clock.now());
+    CHECK_FALSE(ahead.adopt(behind.answer(0, clock.now()), clock.now()));
+    CHECK(ahead.rows().at("a").value == "2");
+}
--- a/packages/host/include/rhubarbtiller/host/homeservice.h
+++ b/packages/host/include/rhubarbtiller/host/homeservice.h
@@ -7,9 +7,9 @@
 #include <rhubarbtiller/limits/borrowing.h>
 #include <rhubarbtiller/limits/rateshares.h>
 #include <rhubarbtiller/limits/retrybudget.h>
-#include <rhubarbtiller/tablestore/changelogstore.h>
 #include <rhubarbtiller/routing/outcometracker.h>
 #include <rhubarbtiller/routing/serverchooser.h>
+#include <rhubarbtiller/tablestore/changelogstore.h>
 
 #include <asio/awaitable.hpp>
 
--- a/packages/host/lib/rostercontroller.cpp
+++ b/packages/host/lib/rostercontroller.cpp
@@ -203,7 +203,7 @@
     // After a conflict or an unknown outcome the next poll shows what stands in the log, and the need is judged anew.
     const char *outcome = result.outcome == tablestore::AppendOutcome::Committed ? "committed"
         : result.outcome == tablestore::AppendOutcome::Conflict                  ? "conflict"
-                                                                               : "unresolved";
+                                                                                 : "unresolved";
     logEvent(LogLevel::Info, "roster_change", {{"purpose", purpose}, {"outcome", outcome}, {"version", expected.count() + 1}});
     this->configs.pollSoon();
 }
--- a/packages/operatorclient/include/rhubarbtiller/operatorclient/session.h
+++ b/packages/operatorclient/include/rhubarbtiller/operatorclient/session.h
@@ -4,8 +4,8 @@
 #include <rhubarbtiller/config/snapshot.h>
 #include <rhubarbtiller/http/httpclient.h>
 #include <rhubarbtiller/operatorclient/exitcode.h>
-#include <rhubarbtiller/tablestore/changelogstore.h>
 #include <rhubarbtiller/settings/settings.h>
+#include <rhubarbtiller/tablestore/changelogstore.h>
 
 #include <functional>
 #include <iosfwd>
