--- a/packages/balance/include/rhubarbtiller/balance/hostdirectory.h
+++ b/packages/balance/include/rhubarbtiller/balance/hostdirectory.h
@@ -32,8 +32,8 @@
 
 /// The hosts that live, as this host hears, and which of them callers are told to use.
 ///
-/// In each failure domain the hosts that have run longest are entry hosts; the others stand by. The hosts of a domain find
-/// out among themselves, and other domains take their word. Few entry hosts see enough
+/// In each failure domain the hosts that have run longest are entry hosts; the others stand by. A host says itself that it
+/// is one, once it hears too few others that do, so that a standby host that died unnoticed is never counted on. Few entry hosts see enough
 /// requests each to find a failing backend server after one or two failures. Thread safety: one thread.
 class HostDirectory
 {
@@ -49,6 +49,9 @@
     /// Precondition: \p now does not go back.
     void onMentioned(const HostRecord &record, MonotonicTime now);
 
+    /// Decides whether this host is an entry host; to be called a few times a second. Precondition: \p now does not go back.
+    void updateClaim(MonotonicTime now);
+
     /// Marks this host as leaving. Precondition: none.
     void beginLeaving();
 
@@ -69,13 +72,16 @@
     /// Returns the other hosts that handle requests and need reports. Precondition: none.
     std::vector<const HostRecord *> servingPeers(MonotonicTime now) const;
 
-    /// Returns the position of this host among the living hosts of its domain; beyond all if it is leaving.
+    /// Returns the position of this host in its domain: the entry hosts first, then the others; beyond all if it is leaving.
     ///
     /// Precondition: none.
     std::size_t ownRank(MonotonicTime now) const;
 
     /// Returns whether callers are sent to this host. Precondition: none.
-    bool isEntryHost(MonotonicTime now) const;
+    bool isEntryHost() const
+    {
+        return this->self.isEntry && !this->self.isLeaving;
+    }
 
     /// Returns every host that was heard or mentioned, except those that are silent for long. Precondition: none.
     std::vector<const HostRecord *> knownHosts(MonotonicTime now) const;
@@ -104,6 +110,8 @@
     std::vector<const HostRecord *> entryHostsIn(const FailureDomainId &domain, MonotonicTime now) const;
 
     HostRecord self;
+    /// Since when the failure domain has too few entry hosts; the end of time while it has enough.
+    MonotonicTime lackSince = MonotonicTime::max();
     const unsigned perDomain;
     std::map<HostId, Known> hosts;
 };
--- a/packages/balance/lib/hostdirectory.cpp
+++ b/packages/balance/lib/hostdirectory.cpp
@@ -9,6 +9,9 @@
 /// Beats that may be lost before a host counts as dead.
 static constexpr int MissedBeats = 4;
 
+/// Each older standby host has this long to become an entry host first: two beats of a host that has just changed.
+static constexpr Duration ClaimSpacing = std::chrono::milliseconds(120);
+
 /// A mention stands for this long.
 static constexpr Duration MentionValidity = std::chrono::seconds(3);
 
@@ -76,26 +79,53 @@
 std::vector<const HostRecord *> HostDirectory::entryHostsFor(const FailureDomainId &domain, MonotonicTime now) const
 {
     auto entryHosts = this->entryHostsIn(domain, now);
+    if (entryHosts.empty()) {
+        // Standby hosts serve as well, until some of them have noticed.
+        entryHosts = this->livingHosts(domain, now);
+        entryHosts.resize(std::min<std::size_t>(entryHosts.size(), this->perDomain));
+    }
     return entryHosts.empty() ? this->allEntryHosts(now) : entryHosts;
 }
 
 std::vector<const HostRecord *> HostDirectory::entryHostsIn(const FailureDomainId &domain, MonotonicTime now) const
 {
-    auto living = this->livingHosts(domain, now);
-    if (domain != this->self.failureDomain) {
-        const auto claims = std::count_if(living.begin(), living.end(), [](const HostRecord *host) {
-            return host->isEntry;
-        });
-        if (claims > 0) {
-            std::erase_if(living, [](const HostRecord *host) {
-                return !host->isEntry;
-            });
+    auto entryHosts = this->livingHosts(domain, now);
+    std::erase_if(entryHosts, [](const HostRecord *host) {
+        return !host->isEntry;
+    });
+    entryHosts.resize(std::min<std::size_t>(entryHosts.size(), this->perDomain));
+    return entryHosts;
+}
+
+void HostDirectory::updateClaim(MonotonicTime now)
+{
+    if (this->self.isLeaving) {
+        return;
+    }
+    std::size_t olderEntryHosts = 0;
+    std::size_t entryHosts = 0;
+    int olderStandbyHosts = 0;
+    bool isOlder = true;
+    for (const auto *const host : this->livingHosts(this->self.failureDomain, now)) {
+        if (host == &this->self) {
+            isOlder = false;
+            continue;
         }
+        entryHosts += host->isEntry ? 1 : 0;
+        olderEntryHosts += host->isEntry && isOlder ? 1 : 0;
+        olderStandbyHosts += !host->isEntry && isOlder ? 1 : 0;
     }
-    if (living.size() > this->perDomain) {
-        living.resize(this->perDomain);
+    if (this->self.isEntry) {
+        this->self.isEntry = olderEntryHosts < this->perDomain;
+        return;
     }
-    return living;
+    if (entryHosts >= this->perDomain) {
+        this->lackSince = MonotonicTime::max();
+        return;
+    }
+    this->lackSince = std::min(this->lackSince, now);
+    // Older hosts go first, one after the other.
+    this->self.isEntry = now - this->lackSince >= ClaimSpacing * olderStandbyHosts;
 }
 
 std::vector<const HostRecord *> HostDirectory::allEntryHosts(MonotonicTime now) const
@@ -134,16 +164,14 @@
 
 std::size_t HostDirectory::ownRank(MonotonicTime now) const
 {
-    const auto living = this->livingHosts(this->self.failureDomain, now);
+    auto living = this->livingHosts(this->self.failureDomain, now);
+    std::stable_partition(living.begin(), living.end(), [](const HostRecord *host) {
+        return host->isEntry;
+    });
     const auto found = std::find(living.begin(), living.end(), &this->self);
     return static_cast<std::size_t>(found - living.begin()) + (this->self.isLeaving ? this->perDomain : 0);
 }
 
-bool HostDirectory::isEntryHost(MonotonicTime now) const
-{
-    return this->ownRank(now) < this->perDomain;
-}
-
 std::vector<const HostRecord *> HostDirectory::knownHosts(MonotonicTime now) const
 {
     std::vector<const HostRecord *> known;
--- a/packages/balance/unittests/hostdirectorytest.cpp
+++ b/packages/balance/unittests/hostdirectorytest.cpp
@@ -31,25 +31,70 @@
 
 using Names = std::vector<std::string>;
 
+/// Returns the record of a host that counts itself among the entry hosts.
+static HostRecord entryRecord(const std::string &id, const std::string &domain, std::uint64_t incarnation)
+{
+    auto made = record(id, domain, incarnation);
+    made.isEntry = true;
+    made.isServing = true;
+    return made;
+}
+
 TEST_CASE("the hosts that have run longest are the entry hosts of their failure domain")
 {
     testing::VirtualClock clock;
     HostDirectory directory(record("own", "a", 30), 2);
-    directory.onBeat(record("old", "a", 10), clock.now());
+    directory.onBeat(entryRecord("old", "a", 10), clock.now());
+    directory.onBeat(entryRecord("new", "a", 40), clock.now());
+    directory.updateClaim(clock.now());
+    CHECK_FALSE(directory.isEntryHost());
+    // The newest host hears of an older one and steps back.
     directory.onBeat(record("new", "a", 40), clock.now());
+    directory.updateClaim(clock.now());
     CHECK(names(directory.entryHostsFor(FailureDomainId("a"), clock.now())) == Names{"old", "own"});
     CHECK(directory.ownRank(clock.now()) == 1);
-    CHECK(directory.isEntryHost(clock.now()));
+    CHECK(directory.isEntryHost());
+}
+
+TEST_CASE("an entry host steps back when enough older hosts are entry hosts")
+{
+    testing::VirtualClock clock;
+    HostDirectory directory(record("own", "a", 30), 1);
+    directory.updateClaim(clock.now());
+    CHECK(directory.isEntryHost());
+    directory.onBeat(entryRecord("old", "a", 10), clock.now());
+    directory.updateClaim(clock.now());
+    CHECK_FALSE(directory.isEntryHost());
+}
+
+TEST_CASE("a standby host that died unnoticed does not keep the others from taking over")
+{
+    testing::VirtualClock clock;
+    HostDirectory directory(record("own", "a", 30), 1);
+    auto standby = record("standby", "a", 20);
+    standby.beatInterval = 1500ms;
+    directory.onBeat(entryRecord("old", "a", 10), clock.now());
+    directory.onBeat(standby, clock.now());
+    directory.updateClaim(clock.now());
+    // Both die now; a host counts as dead after four beats.
+    for (int i = 0; i < 30 && !directory.isEntryHost(); ++i) {
+        clock.advance(50ms);
+        directory.updateClaim(clock.now());
+    }
+    CHECK(directory.isEntryHost());
+    CHECK(names(directory.entryHostsFor(FailureDomainId("a"), clock.now())) == Names{"own"});
 }
 
 TEST_CASE("a silent host is replaced within a second and is named no more")
 {
     testing::VirtualClock clock;
     HostDirectory directory(record("own", "a", 30), 1);
-    directory.onBeat(record("old", "a", 10), clock.now());
-    CHECK_FALSE(directory.isEntryHost(clock.now()));
+    directory.onBeat(entryRecord("old", "a", 10), clock.now());
+    directory.updateClaim(clock.now());
+    CHECK_FALSE(directory.isEntryHost());
     clock.advance(1s);
-    CHECK(directory.isEntryHost(clock.now()));
+    directory.updateClaim(clock.now());
+    CHECK(directory.isEntryHost());
     CHECK(names(directory.entryHostsFor(FailureDomainId("a"), clock.now())) == Names{"own"});
 }
 
@@ -58,9 +103,11 @@
     testing::VirtualClock clock;
     HostDirectory directory(record("own", "a", 10), 1);
     directory.onBeat(record("next", "a", 20), clock.now());
+    directory.updateClaim(clock.now());
     directory.beginLeaving();
+    directory.updateClaim(clock.now());
     CHECK(names(directory.entryHostsFor(FailureDomainId("a"), clock.now())) == Names{"next"});
-    CHECK_FALSE(directory.isEntryHost(clock.now()));
+    CHECK_FALSE(directory.isEntryHost());
     auto leaving = record("next", "a", 20);
     leaving.isLeaving = true;
     directory.onBeat(leaving, clock.now());
@@ -71,9 +118,8 @@
 {
     testing::VirtualClock clock;
     HostDirectory directory(record("own", "a", 10), 2);
-    auto far = record("far", "b", 5);
-    far.isEntry = true;
-    directory.onBeat(far, clock.now());
+    directory.onBeat(entryRecord("far", "b", 5), clock.now());
+    directory.updateClaim(clock.now());
     CHECK(names(directory.entryHostsFor(FailureDomainId("c"), clock.now())) == Names{"own", "far"});
 }
 
@@ -83,20 +129,29 @@
     HostDirectory directory(record("own", "a", 10), 2);
     // This host heard the standby host first, which has run longer than what it knows of the domain otherwise.
     directory.onBeat(record("standby", "b", 1), clock.now());
-    auto entry = record("entry", "b", 2);
-    entry.isEntry = true;
-    directory.onBeat(entry, clock.now());
+    directory.onBeat(entryRecord("entry", "b", 2), clock.now());
     CHECK(names(directory.entryHostsFor(FailureDomainId("b"), clock.now())) == Names{"entry"});
 }
 
+TEST_CASE("the standby hosts of a domain that is cut off do not count as its entry hosts")
+{
+    testing::VirtualClock clock;
+    HostDirectory directory(record("own", "a", 10), 1);
+    auto standby = record("standby", "b", 1);
+    standby.beatInterval = 1500ms;
+    directory.onBeat(standby, clock.now());
+    directory.onBeat(entryRecord("entry", "b", 2), clock.now());
+    directory.updateClaim(clock.now());
+    clock.advance(1100ms);
+    CHECK(names(directory.allEntryHosts(clock.now())) == Names{"own"});
+}
+
 TEST_CASE("reports go to entry hosts that were only mentioned, until the mention is old")
 {
     testing::VirtualClock clock;
     HostDirectory directory(record("own", "a", 10), 2);
-    auto mentioned = record("mentioned", "b", 2);
-    mentioned.isEntry = true;
-    mentioned.isServing = true;
-    directory.onMentioned(mentioned, clock.now());
+    directory.updateClaim(clock.now());
+    directory.onMentioned(entryRecord("mentioned", "b", 2), clock.now());
     CHECK(names(directory.servingPeers(clock.now())) == Names{"mentioned"});
     // It is not named to callers before it is heard.
     CHECK(names(directory.entryHostsFor(FailureDomainId("b"), clock.now())) == Names{"own"});
@@ -119,6 +174,7 @@
     testing::VirtualClock clock;
     HostDirectory directory(record("own", "a", 30), 1);
     directory.onBeat(record("other", "a", 50), clock.now());
-    directory.onBeat(record("other", "a", 10), clock.now());
-    CHECK(directory.isEntryHost(clock.now()));
+    directory.onBeat(entryRecord("other", "a", 10), clock.now());
+    directory.updateClaim(clock.now());
+    CHECK(directory.isEntryHost());
 }
--- a/packages/gateway/lib/gatewayprocess.cpp
+++ b/packages/gateway/lib/gatewayprocess.cpp
@@ -342,7 +342,7 @@
     this->backend->retain([&known](const BackendServerId &server) {
         return known.contains(server);
     });
-    if (this->directory.isEntryHost(now)) {
+    if (this->directory.isEntryHost()) {
         this->link.announce();
     }
 }
--- a/packages/gateway/lib/peerlink.cpp
+++ b/packages/gateway/lib/peerlink.cpp
@@ -211,7 +211,8 @@
 void PeerLink::updateStanding(MonotonicTime now)
 {
     auto &directory = this->parts.directory;
-    const bool isEntry = directory.isEntryHost(now);
+    directory.updateClaim(now);
+    const bool isEntry = directory.isEntryHost();
     if (isEntry != this->isEntryHost) {
         this->isEntryHost = isEntry;
         telemetry::logEvent(
--- a/packages/gateway/lib/requestflow.cpp
+++ b/packages/gateway/lib/requestflow.cpp
@@ -241,7 +241,7 @@
     query.canRepeat = this->isIdempotent() && this->route->maxAttempts > this->runs + 1;
     query.excluded = this->usedServers;
     query.entryHostsInDomain = this->flow.directory.entryHostsPerDomain();
-    query.isEntryHost = this->flow.directory.isEntryHost(now);
+    query.isEntryHost = this->flow.directory.isEntryHost();
     const auto placement = balance::chooseServer(query, *current, this->flow.board, this->flow.random, now);
     this->usableSlots = placement.usableSlots;
     if (placement.server == nullptr) {
