--- a/apps/rhubarbtiller/gatewaymain.cpp
+++ b/apps/rhubarbtiller/gatewaymain.cpp
@@ -68,6 +68,7 @@
     }
     // A caller or server that closes its connection must not end the process.
     std::signal(SIGPIPE, SIG_IGN);
+    telemetry::logInBackground();
     telemetry::setLogLevel(telemetry::logLevelByName(settings->logLevel));
     asio::io_context serving(1);
     asio::io_context control(1);
--- a/packages/balance/include/rhubarbtiller/balance/tokenbucket.h
+++ b/packages/balance/include/rhubarbtiller/balance/tokenbucket.h
@@ -7,7 +7,7 @@
 
 namespace rhubarbtiller::balance {
 
-/// A token bucket whose level may be debited below zero for work that others admitted.
+/// A token bucket.
 ///
 /// Thread safety: one thread.
 class TokenBucket
@@ -16,31 +16,32 @@
     TokenBucket() = default;
 
     TokenBucket(RequestRate fillRate, RequestCount size, RequestCount initial, MonotonicTime now)
-        : rate(fillRate.count()), capacity(size.count()), level(initial.count()), filledAt(now)
+        : rate(fillRate.count()), capacity(size.count()), tokens(initial.count()), filledAt(now)
     {
     }
 
     /// Takes a token if there is one. Precondition: \p now does not go back.
-    bool tryTake(MonotonicTime now, double share = 1)
+    bool tryTake(MonotonicTime now)
     {
-        this->fill(now, share);
-        if (this->level < 1) {
+        this->fill(now);
+        if (this->tokens < 1) {
             return false;
         }
-        this->level -= 1;
+        this->tokens -= 1;
         return true;
     }
 
-    /// Takes tokens whatever the level. Precondition: none.
-    void debit(double tokens)
+    /// Returns the tokens that are there. Precondition: \p now does not go back.
+    double level(MonotonicTime now)
     {
-        this->level -= tokens;
+        this->fill(now);
+        return this->tokens;
     }
 
     /// Gives a token back whose work was not done. Precondition: none.
     void giveBack()
     {
-        this->level = std::min(this->capacity, this->level + 1);
+        this->tokens = std::min(this->capacity, this->tokens + 1);
     }
 
     /// Changes the rate and the size; the level stays within the new size. Precondition: none.
@@ -48,27 +49,20 @@
     {
         this->rate = fillRate.count();
         this->capacity = size.count();
-        this->level = std::min(this->level, this->capacity);
-    }
-
-    /// Returns how long until a token is there, at the given share of the rate. Precondition: the rate is above 0.
-    Duration timeToToken(double share = 1) const
-    {
-        const double missing = std::max(0.0, 1 - this->level);
-        return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(missing / (this->rate * share)));
+        this->tokens = std::min(this->tokens, this->capacity);
     }
 
 private:
-    void fill(MonotonicTime now, double share)
+    void fill(MonotonicTime now)
     {
         const double seconds = std::max(0.0, std::chrono::duration<double>(now - this->filledAt).count());
-        this->level = std::min(this->capacity, this->level + seconds * this->rate * share);
+        this->tokens = std::min(this->capacity, this->tokens + seconds * this->rate);
         this->filledAt = std::max(this->filledAt, now);
     }
 
     double rate = 0;
     double capacity = 0;
-    double level = 0;
+    double tokens = 0;
     MonotonicTime filledAt{};
 };
 
--- a/packages/gateway/lib/requestflow.cpp
+++ b/packages/gateway/lib/requestflow.cpp
@@ -30,6 +30,11 @@
 static constexpr Duration OverdueAfter = milliseconds(900);
 static constexpr unsigned MaxOverdueNotes = 3;
 
+/// Lines about requests: enough for the usual load of an entry host, with a reserve for requests that were not answered.
+static constexpr RequestRate LogLinesPerSecond(200);
+static constexpr RequestCount LogLineBurst(400);
+static constexpr double LogLineReserve = 200;
+
 /// Failed connections for one request; each takes up to the connect timeout.
 static constexpr unsigned MaxConnectFailures = 4;
 
@@ -496,12 +501,32 @@
     this->respond(this->flow.dialect.refusal(refusal, this->request.id), refusalWord(refusal.reason));
 }
 
+/// Returns whether a line about this request fits into the bound; answered requests leave a reserve to the others.
+bool RequestFlow::mayLog(bool isFailure)
+{
+    const auto now = this->flow.clock.now();
+    auto &lines = this->flow.logLines;
+    lines.reconfigure(LogLinesPerSecond, LogLineBurst);
+    const bool fits = isFailure ? lines.tryTake(now) : lines.level(now) >= LogLineReserve && lines.tryTake(now);
+    if (!fits) {
+        ++this->flow.linesLeftOut;
+        return false;
+    }
+    if (this->flow.linesLeftOut > 0) {
+        telemetry::logEvent(telemetry::LogLevel::Info, "lines_left_out", {{"requests", std::exchange(this->flow.linesLeftOut, 0)}});
+    }
+    return true;
+}
+
 void RequestFlow::log(std::string_view outcome, int status)
 {
     const auto now = this->flow.clock.now();
     const auto length = now - this->arrivedAt;
     this->flow.metrics.countRequest(this->runs > 0 ? "ran" : "not_run", outcome);
     this->flow.metrics.observeAddedLatency(length);
+    if (!this->mayLog(outcome != "answered")) {
+        return;
+    }
     std::string servers;
     double failureProbability = 0;
     std::uint32_t outstanding = 0;
--- a/packages/gateway/lib/requestflow.h
+++ b/packages/gateway/lib/requestflow.h
@@ -39,6 +39,9 @@
     std::map<std::uint64_t, std::shared_ptr<RequestFlow>> waiting{};
     std::uint64_t nextTicket = 1;
     bool isPumping = false;
+    /// Bounds the lines about requests under load.
+    balance::TokenBucket logLines{};
+    std::uint64_t linesLeftOut = 0;
     MonotonicTime lastRequestAt{};
     /// When a request of an organisation was last admitted.
     MonotonicTime lastServedAt{};
@@ -99,6 +102,7 @@
     void refuse(const Refusal &refusal);
     void cancelTries();
     void log(std::string_view outcome, int status);
+    bool mayLog(bool isFailure);
 
     FlowContext &flow;
     std::shared_ptr<http::Responder> responder;
--- a/packages/telemetry/include/rhubarbtiller/telemetry/log.h
+++ b/packages/telemetry/include/rhubarbtiller/telemetry/log.h
@@ -31,7 +31,12 @@
     std::string value;
 };
 
-/// Writes one line "time=... level=... event=... key=value ..." to standard error.
+/// Has all lines written to standard output by a thread of their own, so that no caller ever waits for the reader.
+///
+/// When the reader is too slow, the oldest lines are dropped. Precondition: called before the first line. Thread safety: one thread.
+void logInBackground();
+
+/// Writes one line "time=... level=... event=... key=value ..." to standard error, or to standard output in the background.
 ///
 /// Values with spaces, quotes or control characters are quoted and escaped, so a value cannot forge a line.
 /// Precondition: \p event is a constant word. Thread safety: any thread.
--- a/packages/telemetry/lib/log.cpp
+++ b/packages/telemetry/lib/log.cpp
@@ -5,6 +5,7 @@
 #include <atomic>
 
 #include <fmt/format.h>
+#include <spdlog/async.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
@@ -12,15 +13,30 @@
 
 static std::atomic<LogLevel> lowestLevel{LogLevel::Info};
 
-static spdlog::logger &standardErrorLogger()
+/// Lines that wait for the background thread; about 2 MB.
+static constexpr std::size_t BackgroundQueueLines = 8192;
+
+static std::shared_ptr<spdlog::logger> configured(std::shared_ptr<spdlog::logger> logger)
+{
+    logger->set_pattern("%v");
+    logger->set_level(spdlog::level::trace);
+    return logger;
+}
+
+static std::shared_ptr<spdlog::logger> &currentLogger()
+{
+    static std::shared_ptr<spdlog::logger> logger
+        = configured(std::make_shared<spdlog::logger>("rhubarbtiller", std::make_shared<spdlog::sinks::stderr_sink_mt>()));
+    return logger;
+}
+
+void logInBackground()
 {
-    static const std::shared_ptr<spdlog::logger> logger = [] {
-        auto made = std::make_shared<spdlog::logger>("rhubarbtiller", std::make_shared<spdlog::sinks::stderr_sink_mt>());
-        made->set_pattern("%v");
-        made->set_level(spdlog::level::trace);
-        return made;
-    }();
-    return *logger;
+    spdlog::init_thread_pool(BackgroundQueueLines, 1);
+    currentLogger() = configured(std::make_shared<spdlog::async_logger>("rhubarbtiller",
+                                                                        std::make_shared<spdlog::sinks::stdout_sink_mt>(),
+                                                                        spdlog::thread_pool(),
+                                                                        spdlog::async_overflow_policy::overrun_oldest));
 }
 
 LogField::LogField(std::string_view fieldName, std::string_view text) : name(fieldName), value(text)
@@ -66,7 +82,7 @@
     }
     const std::string line = formatLogLine(std::chrono::system_clock::now(), level, event, fields);
     // The line is passed as an argument, so that braces in a value are not read as a format.
-    standardErrorLogger().log(spdlog::level::info, "{}", line);
+    currentLogger()->log(spdlog::level::info, "{}", line);
 }
 
 LogLevel logLevelByName(std::string_view name)
