Try every living server when connections are refused, and wait for a good server with work that cannot be repeated

Change: up to twelve refused connections; refusing servers are tried last; placement reports saturation instead of a server that probably fails while a better one exists.

--- a/packages/balance/lib/placement.cpp
+++ b/packages/balance/lib/placement.cpp
@@ -21,6 +21,8 @@
 /// What a second without a request makes a server worth trying, up to a bound.
 static constexpr double ExplorationPerSecond = 0.1;
 static constexpr double MaxExploration = 0.4;
+/// A server that refused the last connection is tried after the others.
+static constexpr double RefusedConnectionCost = 0.6;
 /// A cold server answers slowly.
 static constexpr double ColdCost = 0.15;
 /// Breaks ties.
@@ -29,6 +31,9 @@
 /// Requests that a server may have for each slot; beyond that they wait at their host, where a better server may come first.
 static constexpr std::uint32_t MaxOutstandingPerSlot = 3;
 
+/// Work that cannot be repeated rather waits for a slot of a better server than going to one that fails this often.
+static constexpr double RiskyFailureProbability = 0.35;
+
 /// A server that fails more often than this adds no capacity.
 static constexpr double UsableFailureProbability = 0.5;
 
@@ -69,6 +74,7 @@
         const double idle = std::chrono::duration<double>(now - state.lastUsedAt).count();
         sum -= std::min(MaxExploration, ExplorationPerSecond * idle);
     }
+    sum += state.connectFailures > 0 ? RefusedConnectionCost : 0;
     return sum + (figures.isCold ? ColdCost : 0);
 }
 
@@ -79,6 +85,7 @@
     const auto *const service = fleet.catalog ? fleet.catalog->findService(query.service) : nullptr;
     Placement best;
     std::uint32_t usableSlots = 0;
+    bool hasBetterServer = false;
     double bestCost = std::numeric_limits<double>::max();
     for (const auto position : fleet.servers->serversOf(query.service)) {
         const auto &server = fleet.servers->entries()[position];
@@ -101,6 +108,7 @@
             if (best.server == nullptr) {
                 best.failure = PlacementFailure::Saturated;
             }
+            hasBetterServer = hasBetterServer || figures.failureProbability < RiskyFailureProbability;
             continue;
         }
         const bool isOtherDomain = server.failureDomain != query.ownDomain;
@@ -116,6 +124,10 @@
             best = figures;
         }
     }
+    if (best.server != nullptr && !query.canRepeat && hasBetterServer && best.failureProbability >= RiskyFailureProbability) {
+        best.server = nullptr;
+        best.failure = PlacementFailure::Saturated;
+    }
     best.usableSlots = usableSlots;
     if (best.server != nullptr && best.isCold) {
         coldServerAccepts(service, board.state(best.server->id), query, true, now);
--- a/packages/balance/unittests/placementtest.cpp
+++ b/packages/balance/unittests/placementtest.cpp
@@ -128,6 +128,33 @@
     CHECK(fixture.choose().server != nullptr);
 }
 
+TEST_CASE("work that cannot be repeated waits for a good server rather than going to a failing one")
+{
+    PlacementFixture fixture(2);
+    fixture.board.observe(BackendServerId("s0"), Evidence::BrokenAnswer, fixture.clock.now());
+    fixture.board.observe(BackendServerId("s0"), Evidence::BrokenAnswer, fixture.clock.now());
+    fixture.board.onRemote(HostId("other"), {}, {{BackendServerId("s1"), 20}}, fixture.clock.now());
+    CHECK(fixture.choose().failure == PlacementFailure::Saturated);
+    fixture.query.canRepeat = true;
+    CHECK(fixture.choose().server->id.text() == "s0");
+    // When all servers fail, the best of them is better than none.
+    fixture.query.canRepeat = false;
+    fixture.board.observe(BackendServerId("s1"), Evidence::BrokenAnswer, fixture.clock.now());
+    fixture.board.observe(BackendServerId("s1"), Evidence::BrokenAnswer, fixture.clock.now());
+    CHECK(fixture.choose().server->id.text() == "s0");
+}
+
+TEST_CASE("servers that refuse connections are tried after the others")
+{
+    PlacementFixture fixture(3);
+    fixture.board.onConnectFailed(BackendServerId("s0"), fixture.clock.now());
+    fixture.board.onConnectFailed(BackendServerId("s1"), fixture.clock.now());
+    fixture.clock.advance(3s);
+    for (int i = 0; i < 20; ++i) {
+        CHECK(fixture.choose().server->id.text() == "s2");
+    }
+}
+
 TEST_CASE("a near server is preferred unless it probably fails")
 {
     PlacementFixture fixture(2);
--- a/packages/gateway/lib/requestflow.cpp
+++ b/packages/gateway/lib/requestflow.cpp
@@ -35,8 +35,8 @@
 static constexpr RequestCount LogLineBurst(400);
 static constexpr double LogLineReserve = 200;
 
-/// Failed connections for one request; each takes up to the connect timeout.
-static constexpr unsigned MaxConnectFailures = 4;
+/// Failed connections for one request; many are refused at once when the servers of a whole domain are down.
+static constexpr unsigned MaxConnectFailures = 12;
 
 /// When callers may come again: servers free a slot about this often.
 /// Routes of this priority or a higher number leave a part of the retry budget to the others.
--- a/packages/gateway/unittests/requestflowtest.cpp
+++ b/packages/gateway/unittests/requestflowtest.cpp
@@ -237,6 +237,18 @@
     CHECK(caller->response->status == 502);
 }
 
+TEST_CASE("a request finds the one living server of a service whose others refuse connections")
+{
+    FlowFixture fixture(9);
+    const auto caller = fixture.ask("/write/x");
+    for (std::size_t i = 0; i < 8; ++i) {
+        fixture.end(i, AttemptEnd::NotConnected);
+    }
+    REQUIRE(fixture.backend.sent.size() == 9);
+    fixture.end(8, AttemptEnd::Answered, {200, {}, {}});
+    CHECK(caller->response->status == 200);
+}
+
 TEST_CASE("an idempotent request runs on no more servers than its route allows")
 {
     FlowFixture fixture;
