Scale what a host assumes after its start by the share that it hears

Ruled out: the tenants' load (0.6 of their rate). Change: the assumed use is scaled too, and half a second of the rate is free, which a process needs to start anyway.

--- a/packages/balance/lib/organisationquota.cpp
+++ b/packages/balance/lib/organisationquota.cpp
@@ -8,6 +8,9 @@
 /// The share that a host keeps to which hears no other.
 static constexpr double LeastShare = 0.01;
 
+/// A process needs this long from the end of an earlier one, which admits nothing meanwhile.
+static constexpr Duration StartTime = std::chrono::milliseconds(500);
+
 /// Other hosts hear at once of admissions when less than this part of the limit is left.
 static constexpr double UrgentPart = 0.3;
 
@@ -29,7 +32,7 @@
         account.limit = organisation.rate.count() > 0 ? organisation.rate.count() * seconds + organisation.burst.count() : 0;
         if (isNew) {
             account.assumed = account.limit;
-            account.assumedAt = now;
+            account.assumedAt = now - StartTime;
         }
     }
 }
@@ -66,7 +69,8 @@
     const std::int64_t number = now.time_since_epoch() / (this->window / WindowSlices);
     const auto sinceAssumed = now - account.assumedAt;
     const double faded = account.ratePerSecond * std::chrono::duration<double>(sinceAssumed).count();
-    double sum = sinceAssumed < this->window ? std::max(0.0, account.assumed - faded) : 0;
+    // The other parts of the fleet assume the rest.
+    double sum = sinceAssumed < this->window ? std::max(0.0, account.assumed - faded) * this->heardShare : 0;
     for (const auto &slice : account.slices) {
         sum += slice.number > number - static_cast<std::int64_t>(SliceCount) ? slice.admitted : 0;
     }
