Let standby hosts ask a store that is away less often

Cause: while the store is away no host hears a fresh peer, so that all 44 ask it twice a second. Change: hosts beyond the first two of a domain wait up to 3.2 s between failed calls.

--- a/packages/gateway/lib/statesync.cpp
+++ b/packages/gateway/lib/statesync.cpp
@@ -27,6 +27,11 @@
 static constexpr std::chrono::milliseconds FirstRetryPause{100};
 static constexpr std::chrono::milliseconds MaxRetryPause{800};
 
+/// Hosts beyond the first of a domain ask a store that is away less often, since those tell them when it is back.
+static constexpr std::size_t EagerRanks = 2;
+static constexpr std::chrono::milliseconds MaxStandbyRetryPause{3200};
+static constexpr unsigned MaxPauseDoublings = 5;
+
 /// Servers whose entries lapsed while the store was away write them again within 2 s of its return.
 static constexpr Duration ReturnTime = std::chrono::milliseconds(2200);
 
@@ -189,7 +194,8 @@
                   {"configuration_version", this->configuration.replica.version()},
                   {"servers_version", this->servers.replica.version()}});
     }
-    const auto pause = std::min(MaxRetryPause, FirstRetryPause * (1 << std::min(state.failures, 4U)));
+    const auto maxPause = this->rank.load() < EagerRanks ? MaxRetryPause : MaxStandbyRetryPause;
+    const auto pause = std::min(maxPause, FirstRetryPause * (1 << std::min(state.failures, MaxPauseDoublings)));
     state.nextCallAt = now + pause / 2 + std::chrono::milliseconds(this->parts.random.below(static_cast<std::uint64_t>(pause.count())));
 }
 
