--- a/packages/gateway/lib/statesync.cpp
+++ b/packages/gateway/lib/statesync.cpp
@@ -342,6 +342,7 @@
         before.erase(entry.id);
     }
     std::vector<std::string> removed;
+    removed.reserve(before.size());
     for (const auto &[id, wasDraining] : before) {
         removed.push_back(id.text());
     }
