Use one parser of addresses and one reader of settings files

Cause: the address parser stood a third time in the gateway, the reader of settings files in three programs. Change: the http package offers its parser, the settings package a reader; the copies go.

--- a/apps/rhubarbtiller/gatewaymain.cpp
+++ b/apps/rhubarbtiller/gatewaymain.cpp
@@ -3,6 +3,7 @@
 #include "exitcodes.h"
 
 #include <rhubarbtiller/platform/platform.h>
+#include <rhubarbtiller/settings/settingsfile.h>
 #include <rhubarbtiller/telemetry/log.h>
 
 #include <asio/executor_work_guard.hpp>
@@ -10,9 +11,7 @@
 #include <asio/signal_set.hpp>
 
 #include <csignal>
-#include <fstream>
 #include <iostream>
-#include <iterator>
 #include <thread>
 
 namespace rhubarbtiller {
@@ -20,22 +19,6 @@
 using telemetry::logEvent;
 using telemetry::LogLevel;
 
-static std::optional<gateway::GatewaySettings> readSettings(const std::string &path)
-{
-    std::ifstream file(path);
-    if (!file) {
-        std::cerr << path << ": the file cannot be read\n";
-        return std::nullopt;
-    }
-    const std::string text(std::istreambuf_iterator<char>(file), {});
-    config::Problems problems;
-    auto parsed = gateway::parseGatewaySettings(text, problems);
-    for (const auto &problem : problems) {
-        std::cerr << path << ": " << problem.describe() << "\n";
-    }
-    return parsed;
-}
-
 /// Waits for signals: the first SIGTERM begins a planned stop, SIGHUP reads the settings again.
 static void watchSignals(asio::signal_set &signals, gateway::GatewayProcess &process, const std::string &settingsPath)
 {
@@ -44,7 +27,7 @@
             return;
         }
         if (signal == SIGHUP) {
-            const auto settings = readSettings(settingsPath);
+            const auto settings = settings::readSettingsFile(settingsPath, gateway::parseGatewaySettings);
             logEvent(LogLevel::Info, "reload", {{"settings", settingsPath}, {"valid", settings.has_value()}});
             if (settings) {
                 telemetry::setLogLevel(telemetry::logLevelByName(settings->logLevel));
@@ -58,7 +41,7 @@
 
 int runGateway(const std::string &settingsPath, bool checksOnly)
 {
-    const auto settings = readSettings(settingsPath);
+    const auto settings = settings::readSettingsFile(settingsPath, gateway::parseGatewaySettings);
     if (!settings) {
         return ExitSettings;
     }
--- a/apps/rhubarbtiller/main.cpp
+++ b/apps/rhubarbtiller/main.cpp
@@ -3,15 +3,14 @@
 
 #include <rhubarbtiller/host/hostprocess.h>
 #include <rhubarbtiller/settings/settings.h>
+#include <rhubarbtiller/settings/settingsfile.h>
 #include <rhubarbtiller/telemetry/log.h>
 
 #include <asio/signal_set.hpp>
 #include <gflags/gflags.h>
 
 #include <csignal>
-#include <fstream>
 #include <iostream>
-#include <iterator>
 #include <thread>
 #include <vector>
 
@@ -21,22 +20,6 @@
 
 using namespace rhubarbtiller;
 
-static std::optional<settings::HostSettings> readSettings(const std::string &path)
-{
-    std::ifstream file(path);
-    if (!file) {
-        std::cerr << path << ": the file cannot be read\n";
-        return std::nullopt;
-    }
-    const std::string text(std::istreambuf_iterator<char>(file), {});
-    config::Problems problems;
-    auto parsed = settings::parseHostSettings(text, problems);
-    for (const auto &problem : problems) {
-        std::cerr << path << ": " << problem.describe() << "\n";
-    }
-    return parsed;
-}
-
 static int runHost(const settings::HostSettings &hostSettings)
 {
     asio::io_context context(static_cast<int>(hostSettings.threads));
@@ -77,7 +60,7 @@
     if (FLAGS_gateway) {
         return runGateway(FLAGS_settings, FLAGS_check);
     }
-    const auto hostSettings = readSettings(FLAGS_settings);
+    const auto hostSettings = settings::readSettingsFile(FLAGS_settings, settings::parseHostSettings);
     if (!hostSettings) {
         return ExitSettings;
     }
--- a/apps/rhubarbtillerctl/main.cpp
+++ b/apps/rhubarbtillerctl/main.cpp
@@ -1,5 +1,6 @@
 #include <rhubarbtiller/http/curlhttpclient.h>
 #include <rhubarbtiller/operatorclient/commands.h>
+#include <rhubarbtiller/settings/settingsfile.h>
 #include <rhubarbtiller/tablestore/dynamotableservice.h>
 #include <rhubarbtiller/tablestore/s3objectstore.h>
 
@@ -8,9 +9,7 @@
 #include <gflags/gflags.h>
 
 #include <csignal>
-#include <fstream>
 #include <iostream>
-#include <iterator>
 #include <thread>
 
 DEFINE_string(settings, "", "file with the operator's settings, JSON with comments");
@@ -66,22 +65,6 @@
 
 } // namespace
 
-static std::optional<settings::OperatorSettings> readSettings(const std::string &path)
-{
-    std::ifstream file(path);
-    if (!file) {
-        std::cerr << path << ": the file cannot be read\n";
-        return std::nullopt;
-    }
-    const std::string text(std::istreambuf_iterator<char>(file), {});
-    config::Problems problems;
-    auto parsed = settings::parseOperatorSettings(text, problems);
-    for (const auto &problem : problems) {
-        std::cerr << path << ": " << problem.describe() << "\n";
-    }
-    return parsed;
-}
-
 static operatorclient::Options optionsFromFlags()
 {
     operatorclient::Options options;
@@ -108,7 +91,7 @@
     const std::vector<std::string> words(argv + 1, argv + argc);
     std::unique_ptr<Connections> connections;
     const auto openSession = [&connections]() -> operatorclient::Session * {
-        const auto settings = readSettings(FLAGS_settings);
+        const auto settings = settings::readSettingsFile(FLAGS_settings, settings::parseOperatorSettings);
         if (!settings) {
             return nullptr;
         }
--- a/packages/gateway/lib/backendclient.cpp
+++ b/packages/gateway/lib/backendclient.cpp
@@ -2,12 +2,13 @@
 
 #include "answerparser.h"
 
+#include <rhubarbtiller/http/endpoints.h>
+
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
 
 #include <array>
-#include <charconv>
 #include <unordered_map>
 
 namespace rhubarbtiller::gateway {
@@ -24,23 +25,6 @@
 /// Idle connections that are kept for one server.
 static constexpr std::size_t MaxIdlePerServer = 8;
 
-static std::optional<asio::ip::tcp::endpoint> parseAddress(const Endpoint &endpoint)
-{
-    const auto &text = endpoint.text();
-    const auto colon = text.rfind(':');
-    if (colon == std::string::npos) {
-        return std::nullopt;
-    }
-    std::error_code error;
-    const auto address = asio::ip::make_address(text.substr(0, colon), error);
-    std::uint16_t port = 0;
-    const auto [end, result] = std::from_chars(text.data() + colon + 1, text.data() + text.size(), port);
-    if (error || result != std::errc() || end != text.data() + text.size()) {
-        return std::nullopt;
-    }
-    return asio::ip::tcp::endpoint(address, port);
-}
-
 static std::string serialize(const http::HttpRequest &message)
 {
     std::string text = message.method + " " + message.target + " HTTP/1.1\r\n";
@@ -248,7 +232,7 @@
 
 void Connection::connect()
 {
-    const auto target = parseAddress(this->address);
+    const auto target = http::parseEndpoint(this->address);
     if (!target) {
         this->finish(AttemptEnd::NotConnected, "address");
         return;
--- a/packages/gateway/lib/peerlink.cpp
+++ b/packages/gateway/lib/peerlink.cpp
@@ -2,10 +2,9 @@
 
 #include "thriftcodec.h"
 
+#include <rhubarbtiller/http/endpoints.h>
 #include <rhubarbtiller/telemetry/log.h>
 
-#include <charconv>
-
 namespace rhubarbtiller::gateway {
 
 using std::chrono::milliseconds;
@@ -86,16 +85,8 @@
 
 static std::optional<asio::ip::udp::endpoint> parseUdp(const Endpoint &endpoint)
 {
-    const auto &text = endpoint.text();
-    const auto colon = text.rfind(':');
-    std::error_code error;
-    const auto address = asio::ip::make_address(text.substr(0, colon), error);
-    std::uint16_t port = 0;
-    if (error || colon == std::string::npos
-        || std::from_chars(text.data() + colon + 1, text.data() + text.size(), port).ec != std::errc()) {
-        return std::nullopt;
-    }
-    return asio::ip::udp::endpoint(address, port);
+    const auto address = http::parseEndpoint(endpoint);
+    return address ? std::optional(asio::ip::udp::endpoint(address->address(), address->port())) : std::nullopt;
 }
 
 PeerLink::PeerLink(Parts linkParts) : parts(std::move(linkParts)), socket(parts.context), timer(parts.context)
--- a/packages/gateway/lib/tablereplica.cpp
+++ b/packages/gateway/lib/tablereplica.cpp
@@ -25,6 +25,21 @@
     return true;
 }
 
+/// Drops the rows whose keys are not in the set; returns whether there were some.
+bool TableReplica::dropAllBut(const std::set<std::string> &keys)
+{
+    std::vector<std::string> gone;
+    for (const auto &[key, row] : this->held) {
+        if (!keys.contains(key)) {
+            gone.push_back(key);
+        }
+    }
+    for (const auto &key : gone) {
+        this->drop(key);
+    }
+    return !gone.empty();
+}
+
 bool TableReplica::replace(const SourceBatch &batch, MonotonicTime now)
 {
     this->removed.clear();
@@ -37,15 +52,7 @@
         keys.insert(row.key);
         hasChanged = this->put(row.key, row.value, row.version, now) || hasChanged;
     }
-    std::vector<std::string> gone;
-    for (const auto &[key, row] : this->held) {
-        if (!keys.contains(key)) {
-            gone.push_back(key);
-        }
-    }
-    for (const auto &key : gone) {
-        hasChanged = this->drop(key) || hasChanged;
-    }
+    hasChanged = this->dropAllBut(keys) || hasChanged;
     this->followedTo = batch.version;
     if (hasChanged) {
         this->changedAtVersion = batch.version;
@@ -86,15 +93,7 @@
         hasChanged = this->put(row.key, row.value, static_cast<std::uint64_t>(row.version), receivedAt) || hasChanged;
     }
     const std::set<std::string> keys(answer.keys.begin(), answer.keys.end());
-    std::vector<std::string> gone;
-    for (const auto &[key, row] : this->held) {
-        if (!keys.contains(key)) {
-            gone.push_back(key);
-        }
-    }
-    for (const auto &key : gone) {
-        hasChanged = this->drop(key) || hasChanged;
-    }
+    hasChanged = this->dropAllBut(keys) || hasChanged;
     this->followedTo = version;
     this->changedAtVersion = version;
     return hasChanged;
--- a/packages/gateway/lib/tablereplica.h
+++ b/packages/gateway/lib/tablereplica.h
@@ -52,6 +52,7 @@
 private:
     bool put(const std::string &key, std::string value, std::uint64_t version, MonotonicTime receivedAt);
     bool drop(const std::string &key);
+    bool dropAllBut(const std::set<std::string> &keys);
 
     HeldRows held;
     HeldRows removed;
--- a/packages/http/lib/curlhttpclient.cpp
+++ b/packages/http/lib/curlhttpclient.cpp
@@ -2,8 +2,8 @@
 
 #include <rhubarbtiller/http/errors.h>
 
-#include "endpoints.h"
 #include "responseframing.h"
+#include <rhubarbtiller/http/endpoints.h>
 
 #include <asio/bind_executor.hpp>
 #include <asio/dispatch.hpp>
--- a/packages/http/lib/endpoints.cpp
+++ b/packages/http/lib/endpoints.cpp
@@ -1,4 +1,4 @@
-#include "endpoints.h"
+#include <rhubarbtiller/http/endpoints.h>
 
 #include <asio/ip/address.hpp>
 
--- a/packages/http/lib/restinioserver.cpp
+++ b/packages/http/lib/restinioserver.cpp
@@ -2,8 +2,8 @@
 
 #include <rhubarbtiller/http/errors.h>
 
-#include "endpoints.h"
 #include "guardedsocket.h"
+#include <rhubarbtiller/http/endpoints.h>
 
 #include <asio/ip/tcp.hpp>
 #include <asio/post.hpp>
