Send callers to the largest hosts of a domain

Change: hosts say how much processor they may use; the largest come first, among equals those that have run longest, and a host steps in for those behind it.

--- a/packages/balance/include/rhubarbtiller/balance/hostdirectory.h
+++ b/packages/balance/include/rhubarbtiller/balance/hostdirectory.h
@@ -17,8 +17,10 @@
     Endpoint callerAddress;
     Endpoint peerAddress;
     Endpoint controlAddress;
-    /// Later runs of a process have larger numbers; hosts that have run longest come first.
+    /// Later runs of a process have larger numbers; of equal hosts those that have run longest come first.
     Incarnation incarnation;
+    /// Thousandths of a processor core that the host may use; larger hosts come first.
+    std::uint32_t milliCores = 1000;
     bool isLeaving = false;
     /// Whether it counts itself among the entry hosts of its failure domain.
     bool isEntry = false;
@@ -32,9 +34,9 @@
 
 /// The hosts that live, as this host hears, and which of them callers are told to use.
 ///
-/// In each failure domain the hosts that have run longest are entry hosts; the others stand by. A host says itself that it
-/// is one, once it hears too few others that do, so that a standby host that died unnoticed is never counted on. Few entry hosts see enough
-/// requests each to find a failing backend server after one or two failures. Thread safety: one thread.
+/// In each failure domain the largest hosts, and among equals those that have run longest, are entry hosts; the others stand by. A host
+/// says itself that it is one, once it hears too few others that do, so that a standby host that died unnoticed is never counted on. Few
+/// entry hosts see enough requests each to find a failing backend server after one or two failures. Thread safety: one thread.
 class HostDirectory
 {
 public:
@@ -55,7 +57,7 @@
     /// Marks this host as leaving. Precondition: none.
     void beginLeaving();
 
-    /// Returns the living hosts of a failure domain that are not leaving, those that have run longest first.
+    /// Returns the living hosts of a failure domain that are not leaving, the largest first, then those that have run longest.
     ///
     /// Precondition: none.
     std::vector<const HostRecord *> livingHosts(const FailureDomainId &domain, MonotonicTime now) const;
--- a/packages/balance/lib/hostdirectory.cpp
+++ b/packages/balance/lib/hostdirectory.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cassert>
 #include <set>
+#include <tuple>
 
 namespace rhubarbtiller::balance {
 
@@ -71,7 +72,7 @@
         }
     }
     std::sort(living.begin(), living.end(), [](const HostRecord *left, const HostRecord *right) {
-        return std::pair(left->incarnation, left->id) < std::pair(right->incarnation, right->id);
+        return std::tuple(right->milliCores, left->incarnation, left->id) < std::tuple(left->milliCores, right->incarnation, right->id);
     });
     return living;
 }
@@ -102,30 +103,22 @@
     if (this->self.isLeaving) {
         return;
     }
-    std::size_t olderEntryHosts = 0;
-    std::size_t entryHosts = 0;
-    int olderStandbyHosts = 0;
-    bool isOlder = true;
+    std::size_t entryHostsBefore = 0;
+    std::size_t standbyHostsBefore = 0;
     for (const auto *const host : this->livingHosts(this->self.failureDomain, now)) {
         if (host == &this->self) {
-            isOlder = false;
-            continue;
+            break;
         }
-        entryHosts += host->isEntry ? 1 : 0;
-        olderEntryHosts += host->isEntry && isOlder ? 1 : 0;
-        olderStandbyHosts += !host->isEntry && isOlder ? 1 : 0;
+        (host->isEntry ? entryHostsBefore : standbyHostsBefore) += 1;
     }
-    if (this->self.isEntry) {
-        this->self.isEntry = olderEntryHosts < this->perDomain;
-        return;
-    }
-    if (entryHosts >= this->perDomain) {
+    if (this->self.isEntry || entryHostsBefore >= this->perDomain) {
+        this->self.isEntry = this->self.isEntry && entryHostsBefore < this->perDomain;
         this->lackSince = MonotonicTime::max();
         return;
     }
     this->lackSince = std::min(this->lackSince, now);
-    // Older hosts go first, one after the other.
-    this->self.isEntry = now - this->lackSince >= ClaimSpacing * olderStandbyHosts;
+    // The hosts before this one go first, one after the other.
+    this->self.isEntry = now - this->lackSince >= ClaimSpacing * standbyHostsBefore;
 }
 
 std::vector<const HostRecord *> HostDirectory::allEntryHosts(MonotonicTime now) const
--- a/packages/balance/unittests/hostdirectorytest.cpp
+++ b/packages/balance/unittests/hostdirectorytest.cpp
@@ -47,15 +47,29 @@
     directory.onBeat(entryRecord("old", "a", 10), clock.now());
     directory.onBeat(entryRecord("new", "a", 40), clock.now());
     directory.updateClaim(clock.now());
-    CHECK_FALSE(directory.isEntryHost());
-    // The newest host hears of an older one and steps back.
-    directory.onBeat(record("new", "a", 40), clock.now());
-    directory.updateClaim(clock.now());
+    // The newest host is not named any more, also before it has heard of the others.
     CHECK(names(directory.entryHostsFor(FailureDomainId("a"), clock.now())) == Names{"old", "own"});
     CHECK(directory.ownRank(clock.now()) == 1);
     CHECK(directory.isEntryHost());
 }
 
+TEST_CASE("a large host goes before small ones that have run longer")
+{
+    testing::VirtualClock clock;
+    HostDirectory directory(record("own", "a", 30), 1);
+    auto small = entryRecord("small", "a", 10);
+    small.milliCores = 100;
+    directory.onBeat(small, clock.now());
+    directory.updateClaim(clock.now());
+    CHECK(names(directory.entryHostsFor(FailureDomainId("a"), clock.now())) == Names{"own"});
+    auto large = entryRecord("large", "a", 40);
+    large.milliCores = 2000;
+    directory.onBeat(large, clock.now());
+    directory.updateClaim(clock.now());
+    CHECK_FALSE(directory.isEntryHost());
+    CHECK(names(directory.entryHostsFor(FailureDomainId("a"), clock.now())) == Names{"large"});
+}
+
 TEST_CASE("an entry host steps back when enough older hosts are entry hosts")
 {
     testing::VirtualClock clock;
--- a/packages/gateway/fleet.thrift
+++ b/packages/gateway/fleet.thrift
@@ -20,6 +20,8 @@
     12: bool isServing
     // Whether it counts itself among the entry hosts of its failure domain.
     13: bool isEntry
+    // Thousandths of a processor core that the host may use.
+    14: i32 milliCores
 }
 
 struct ServerEvidence {
--- a/packages/gateway/include/rhubarbtiller/gateway/settings.h
+++ b/packages/gateway/include/rhubarbtiller/gateway/settings.h
@@ -26,6 +26,8 @@
     /// Control addresses of some other hosts; may be stale.
     std::vector<Endpoint> seeds;
     unsigned entryHostsPerDomain = 2;
+    /// Thousandths of a processor core that this host may use.
+    std::uint32_t milliCores = 1000;
     /// How long callers keep an answer with addresses.
     std::chrono::milliseconds addressLifetime{1500};
     /// Time from the signal to stop until the process is killed.
--- a/packages/gateway/lib/gatewayprocess.cpp
+++ b/packages/gateway/lib/gatewayprocess.cpp
@@ -151,6 +151,7 @@
     record.callerAddress = settings.callerAddress;
     record.peerAddress = settings.peerAddress;
     record.controlAddress = settings.controlAddress;
+    record.milliCores = settings.milliCores;
     const auto sinceEpoch = clock.wallNow().time_since_epoch();
     record.incarnation = Incarnation(static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(sinceEpoch).count()));
     return record;
--- a/packages/gateway/lib/peerlink.cpp
+++ b/packages/gateway/lib/peerlink.cpp
@@ -59,6 +59,7 @@
     record.peerAddress = Endpoint(beat.peerAddress);
     record.controlAddress = Endpoint(beat.controlAddress);
     record.incarnation = Incarnation(static_cast<std::uint64_t>(beat.incarnation));
+    record.milliCores = static_cast<std::uint32_t>(std::max(0, beat.milliCores));
     record.isLeaving = beat.isLeaving;
     record.isServing = beat.isServing;
     record.isEntry = beat.isEntry;
@@ -75,6 +76,7 @@
     beat.peerAddress = record.peerAddress.text();
     beat.controlAddress = record.controlAddress.text();
     beat.incarnation = static_cast<std::int64_t>(record.incarnation.count());
+    beat.milliCores = static_cast<std::int32_t>(record.milliCores);
     beat.isLeaving = record.isLeaving;
     beat.isServing = record.isServing;
     beat.isEntry = record.isEntry;
--- a/packages/gateway/lib/settings.cpp
+++ b/packages/gateway/lib/settings.cpp
@@ -52,6 +52,9 @@
     constexpr unsigned MaxEntryHosts = 64;
     settings.entryHostsPerDomain
         = static_cast<unsigned>(reader.integer("entryHostsPerDomain", settings.entryHostsPerDomain, 1, MaxEntryHosts));
+    constexpr double MilliCoresPerCore = 1000;
+    constexpr double MaxCores = 1024;
+    settings.milliCores = static_cast<std::uint32_t>(reader.number("processorCores", 1, 0, MaxCores) * MilliCoresPerCore);
     settings.addressLifetime = reader.milliseconds("addressLifetimeMs", settings.addressLifetime, milliseconds(100), milliseconds(60'000));
     constexpr double MaxGraceSeconds = 600;
     const double grace = reader.number("stopGraceSeconds", std::chrono::duration<double>(settings.stopGrace).count(), 0, MaxGraceSeconds);
--- a/packages/gateway/unittests/requestflowtest.cpp
+++ b/packages/gateway/unittests/requestflowtest.cpp
@@ -168,7 +168,8 @@
     balance::OrganisationQuota quota{5s};
     balance::RetryBudget retries{{0.2, 100, 10s}};
     balance::WeightedSplit split;
-    balance::HostDirectory directory{{HostId("own"), FailureDomainId("a"), {}, {}, {}, Incarnation(1), false, false, false, 250ms}, 2};
+    balance::HostDirectory directory{{HostId("own"), FailureDomainId("a"), {}, {}, {}, Incarnation(1), 1000, false, false, false, 250ms},
+                                     2};
     telemetry::Metrics metrics;
     FlowContext flow{this->context,
                      this->clock,
