Observe the added latency, log the entry hosts heard, drop members that nothing reads

Cause: reading the change as a newcomer: the histogram of the added latency held the whole time of a request, no line told of a lost peer, and two members were never read. Change: the time until the answering server got the request is observed; a line when the entry hosts heard change.

--- a/packages/gateway/lib/peerlink.cpp
+++ b/packages/gateway/lib/peerlink.cpp
@@ -220,6 +220,7 @@
         this->nextBeatAt = now;
         this->parts.quota.assumeUnknown(now);
     }
+    this->logEntryHosts(now);
     this->parts.sync.setRank(directory.ownRank(now));
     const auto expected = static_cast<double>(directory.entryHostsPerDomain() * this->parts.failureDomains.size());
     const auto living = directory.livingHosts(directory.own().failureDomain, now).size();
@@ -241,6 +242,19 @@
                                       / static_cast<double>(std::max<std::size_t>(1, living) * this->parts.failureDomains.size()));
 }
 
+/// Writes a line when an entry host is lost or found; standby hosts hear only those of their own domain.
+void PeerLink::logEntryHosts(MonotonicTime now)
+{
+    std::string heard;
+    for (const auto *const host : this->parts.directory.allEntryHosts(now)) {
+        heard += (heard.empty() ? "" : ",") + host->id.text();
+    }
+    if (this->isServing && heard != this->loggedEntryHosts) {
+        telemetry::logEvent(telemetry::LogLevel::Info, "entry_hosts_changed", {{"before", this->loggedEntryHosts}, {"now", heard}});
+        this->loggedEntryHosts = heard;
+    }
+}
+
 wire::HostBeat PeerLink::ownBeat() const
 {
     auto beat = beatOf(this->parts.directory.own());
--- a/packages/gateway/lib/peerlink.h
+++ b/packages/gateway/lib/peerlink.h
@@ -64,6 +64,7 @@
     void report(MonotonicTime now);
     void search(MonotonicTime now);
     void updateStanding(MonotonicTime now);
+    void logEntryHosts(MonotonicTime now);
     void send(const wire::Datagram &datagram, const Endpoint &target);
     void addMentions(wire::Datagram &datagram, MonotonicTime now) const;
     void mentionTo(const Endpoint &target, MonotonicTime now);
@@ -79,6 +80,7 @@
     MonotonicTime lastUrgentAt{};
     MonotonicTime nextMentionAt{};
     bool isEntryHost = false;
+    std::string loggedEntryHosts;
     bool isServing = false;
     bool isSendFailing = false;
     /// Since when no other host is heard; the end of time while some are.
--- a/packages/gateway/lib/requestflow.cpp
+++ b/packages/gateway/lib/requestflow.cpp
@@ -343,6 +343,7 @@
     const auto &answered = this->tries[number];
     switch (this->flow.dialect.meaningOf(response)) {
     case AnswerMeaning::Ran:
+        this->flow.metrics.observeAddedLatency(answered.startedAt - this->arrivedAt);
         this->observe(answered, Evidence::Success);
         this->respond(this->flow.dialect.callerAnswer(std::move(response)), "answered");
         return;
@@ -523,7 +524,6 @@
     const auto now = this->flow.clock.now();
     const auto length = now - this->arrivedAt;
     this->flow.metrics.countRequest(this->runs > 0 ? "ran" : "not_run", outcome);
-    this->flow.metrics.observeAddedLatency(length);
     if (!this->mayLog(outcome != "answered")) {
         return;
     }
--- a/packages/gateway/lib/requestflow.h
+++ b/packages/gateway/lib/requestflow.h
@@ -125,7 +125,6 @@
     /// The place in the line; 0 outside of it.
     std::uint64_t ticket = 0;
     std::uint32_t usableSlots = 0;
-    Duration waited{};
     bool waitsForRepeat = false;
     std::optional<int> organisationPriority;
     bool hasHedged = false;
--- a/packages/gateway/lib/statesync.cpp
+++ b/packages/gateway/lib/statesync.cpp
@@ -71,7 +71,6 @@
 
 void StateSync::start()
 {
-    this->startedAt = this->parts.clock.now();
     this->tick();
 }
 
--- a/packages/gateway/lib/statesync.h
+++ b/packages/gateway/lib/statesync.h
@@ -116,7 +116,6 @@
     std::map<std::string, std::pair<HeldRow, MonotonicTime>> lapsedServers;
     MonotonicTime storeAwaySince{};
     MonotonicTime storeBackAt{};
-    MonotonicTime startedAt{};
     bool isStoreAway = false;
     std::set<std::string> reportedRows;
 
