Say in two comments what the constants mean

Cause: the last reading as a newcomer. Change: comments only, no statement differs. Result: format and platform checks pass; balance, gateway and platform tests pass.

--- a/packages/balance/lib/placement.cpp
+++ b/packages/balance/lib/placement.cpp
@@ -6,7 +6,7 @@
 
 namespace rhubarbtiller::balance {
 
-// Costs are relative to the worth of an average request.
+// Costs have no unit; only their ratios matter.
 
 /// A request that is lost because it cannot be repeated.
 static constexpr double LostRequestCost = 4;
--- a/packages/gateway/lib/peerlink.cpp
+++ b/packages/gateway/lib/peerlink.cpp
@@ -41,7 +41,7 @@
 /// After this time callers have found the hosts that replace one which is cut off.
 static constexpr Duration ReplacementTime = std::chrono::seconds(2);
 
-/// The part of the fleet's retry slack that the entry hosts share; the rest is for hosts that standby.
+/// The part of the fleet's retry slack that the entry hosts share; the rest is for standby hosts.
 static constexpr double EntrySlackPart = 0.75;
 
 /// How often an entry host names those of the other failure domains to its own.
