Use the floor of a service's servers while it fails its callers

Work that cannot be repeated stays with proven servers, and the service has no repeatable requests that try the others. Ruled out: exploration by repeatable requests (the service has none); a faster decay of the failure estimate (it sends work to failing servers in calm times). Change: each host counts how the requests for a service end. Above a twentieth unserved, placement keeps the share of used servers at the setting usedServersFloor, by the unused server with the lowest failure estimate; reports of other hosts count as use. The line of waiting requests, the request's log line and its spans become parts of their own; spans are written when spanOutput is set, and a request beyond the configured sizes is refused (413, 431). Figures: the new placement test fails without the change (6 of 9 servers used).

--- a/packages/balance/include/rhubarbtiller/balance/organisationquota.h
+++ b/packages/balance/include/rhubarbtiller/balance/organisationquota.h
@@ -27,6 +27,14 @@
     std::uint64_t admitted = 0;
 };
 
+/// How much of its limit an organisation has used, as one host knows it.
+struct QuotaStanding
+{
+    OrganisationId organisation;
+    double used = 0;
+    double limit = 0;
+};
+
 /// Keeps each organisation to its rate and burst over all hosts: in any window no more than rate x window + burst.
 ///
 /// Each host counts the admissions of the whole fleet: its own, and those that the other hosts report. A host that does
@@ -66,6 +74,9 @@
     /// Returns what this host admitted for each organisation that was admitted since the last call. Precondition: none.
     std::vector<AdmissionCount> takeReport();
 
+    /// Returns the organisations with a rate that used some of it in the last window. Precondition: \p now does not go back.
+    std::vector<QuotaStanding> standings(MonotonicTime now) const;
+
     /// Counts what another host admitted since its last report. Precondition: \p now does not go back.
     void onReport(const HostId &host, Incarnation incarnation, const std::vector<AdmissionCount> &counts, MonotonicTime now);
 
--- a/packages/balance/include/rhubarbtiller/balance/placement.h
+++ b/packages/balance/include/rhubarbtiller/balance/placement.h
@@ -22,6 +22,8 @@
     unsigned entryHostsInDomain = 1;
     /// Whether callers are sent to this host; others leave cold servers alone.
     bool isEntryHost = true;
+    /// The share of the servers that get requests at least, 0 to 1; above 0 while the service fails its callers.
+    double usedServersFloor = 0;
 };
 
 /// Why no server was found.
@@ -48,7 +50,8 @@
 /// Chooses the backend server with the lowest expected cost: probability of failure, queueing, distance.
 ///
 /// Requests that can be repeated also try servers that were not used for long, so that there is fresh evidence on all
-/// servers for the requests that cannot. Thread safety: one thread.
+/// servers for the requests that cannot. Below the floor of used servers, the most reliable unused one is chosen.
+/// Thread safety: one thread.
 /// Precondition: \p state holds a server table.
 Placement
 chooseServer(const PlacementQuery &query, const catalog::FleetState &state, Scoreboard &board, RandomSource &random, MonotonicTime now);
--- a/packages/balance/include/rhubarbtiller/balance/retrybudget.h
+++ b/packages/balance/include/rhubarbtiller/balance/retrybudget.h
@@ -15,6 +15,8 @@
     /// Repeats in a window that need no request.
     double slack = 0;
     Duration window = std::chrono::seconds(10);
+
+    bool operator==(const RetryBudgetBounds &) const = default;
 };
 
 /// Bounds the repeats that one host sends to each service, within its part of the budget of the fleet.
@@ -25,6 +27,9 @@
 public:
     explicit RetryBudget(const RetryBudgetBounds &bounds);
 
+    /// Changes the bounds; what was counted stays if the window does. Precondition: none.
+    void reconfigure(const RetryBudgetBounds &bounds);
+
     /// Sets the part of the fleet's slack that this host may use, 0 to 1. Precondition: none.
     void setSlackShare(double share);
 
@@ -50,10 +55,10 @@
 
     Slice &currentSlice(Slices &slices, MonotonicTime now) const;
 
-    double ratio;
-    double slack;
+    double ratio = 0;
+    double slack = 0;
     double slackShare = 0;
-    Duration sliceLength;
+    Duration sliceLength{};
     std::unordered_map<catalog::ServiceName, Slices> services;
 };
 
--- a/packages/balance/include/rhubarbtiller/balance/scoreboard.h
+++ b/packages/balance/include/rhubarbtiller/balance/scoreboard.h
@@ -32,6 +32,8 @@
     std::uint32_t ownOutstanding = 0;
     /// When this host last sent a request there.
     MonotonicTime lastUsedAt{};
+    /// When any host is known to have sent a request there.
+    MonotonicTime lastUsedByFleetAt{};
     /// Until then no connection is opened, since the last one failed.
     MonotonicTime connectBackoffUntil{};
     unsigned connectFailures = 0;
@@ -64,6 +66,9 @@
     /// Returns the state of a server, made when it is first asked for. Precondition: none.
     ServerState &state(const BackendServerId &server);
 
+    /// Returns the state of a server, or nullptr if none is held. Precondition: none.
+    const ServerState *find(const BackendServerId &server) const;
+
     /// Notes that a request was sent. Precondition: none.
     void onSent(const BackendServerId &server, MonotonicTime now);
 
--- /dev/null
+++ b/packages/balance/include/rhubarbtiller/balance/serviceoutcomes.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <rhubarbtiller/base/clock.h>
+#include <rhubarbtiller/catalog/catalog.h>
+
+#include <array>
+
+namespace rhubarbtiller::balance {
+
+/// Counts how the requests for each service end, over a few seconds.
+///
+/// Thread safety: one thread.
+class ServiceOutcomes
+{
+public:
+    /// Notes the end of a request that a caller still waited for. Precondition: \p now does not go back.
+    void note(const catalog::ServiceName &service, bool isServed, MonotonicTime now);
+
+    /// Returns whether so many requests end without an answer of a server that all servers have to be tried.
+    ///
+    /// Precondition: \p now does not go back.
+    bool isFailing(const catalog::ServiceName &service, MonotonicTime now) const;
+
+private:
+    static constexpr std::size_t SliceCount = 8;
+
+    struct Slice
+    {
+        std::int64_t number = -1;
+        std::uint32_t served = 0;
+        std::uint32_t unserved = 0;
+    };
+
+    std::unordered_map<catalog::ServiceName, std::array<Slice, SliceCount>> services;
+};
+
+} // namespace rhubarbtiller::balance
--- a/packages/balance/lib/organisationquota.cpp
+++ b/packages/balance/lib/organisationquota.cpp
@@ -117,6 +117,18 @@
     return counts;
 }
 
+std::vector<QuotaStanding> OrganisationQuota::standings(MonotonicTime now) const
+{
+    std::vector<QuotaStanding> standings;
+    for (const auto &[id, account] : this->accounts) {
+        const double used = account.limit > 0 ? this->admittedInWindow(account, now) : 0;
+        if (used > 0) {
+            standings.push_back({id, used, account.limit * this->heardShare});
+        }
+    }
+    return standings;
+}
+
 void OrganisationQuota::onReport(const HostId &host, Incarnation incarnation, const std::vector<AdmissionCount> &counts, MonotonicTime now)
 {
     auto &remote = this->remotes[host];
--- a/packages/balance/lib/placement.cpp
+++ b/packages/balance/lib/placement.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cassert>
 #include <limits>
+#include <optional>
 
 namespace rhubarbtiller::balance {
 
@@ -34,6 +35,9 @@
 /// Work that cannot be repeated rather waits for a slot of a better server than going to one that fails this often.
 static constexpr double RiskyFailureProbability = 0.35;
 
+/// A server without a request for this long counts as unused; shorter than the 2 s over which the platform judges the floor.
+static constexpr Duration UnusedAfter = std::chrono::milliseconds(1200);
+
 /// A server that fails more often than this adds no capacity.
 static constexpr double UsableFailureProbability = 0.5;
 
@@ -78,6 +82,47 @@
     return sum + (figures.isCold ? ColdCost : 0);
 }
 
+namespace {
+
+/// Counts which servers of a service get requests, and finds the one to use next if too few do.
+class FloorCount
+{
+public:
+    /// Takes a server that could get the request.
+    void add(const ServerState &state, const Placement &figures, MonotonicTime now)
+    {
+        ++this->usable;
+        if (now - state.lastUsedByFleetAt < UnusedAfter) {
+            ++this->used;
+            return;
+        }
+        if (this->next.server == nullptr || figures.failureProbability < this->next.failureProbability) {
+            this->next = figures;
+        }
+    }
+
+    /// Takes a server that is used but has no room.
+    void addFull()
+    {
+        ++this->usable;
+        ++this->used;
+    }
+
+    /// Returns the most reliable unused server if the used ones are below the floor.
+    std::optional<Placement> missing(double floor) const
+    {
+        const bool isBelow = this->used < floor * this->usable;
+        return isBelow && this->next.server != nullptr ? std::optional(this->next) : std::nullopt;
+    }
+
+private:
+    unsigned usable = 0;
+    unsigned used = 0;
+    Placement next;
+};
+
+} // namespace
+
 Placement
 chooseServer(const PlacementQuery &query, const catalog::FleetState &fleet, Scoreboard &board, RandomSource &random, MonotonicTime now)
 {
@@ -86,6 +131,7 @@
     Placement best;
     std::uint32_t usableSlots = 0;
     bool hasBetterServer = false;
+    FloorCount floor;
     double bestCost = std::numeric_limits<double>::max();
     for (const auto position : fleet.servers->serversOf(query.service)) {
         const auto &server = fleet.servers->entries()[position];
@@ -109,6 +155,7 @@
                 best.failure = PlacementFailure::Saturated;
             }
             hasBetterServer = hasBetterServer || figures.failureProbability < RiskyFailureProbability;
+            floor.addFull();
             continue;
         }
         const bool isOtherDomain = server.failureDomain != query.ownDomain;
@@ -118,6 +165,7 @@
             }
             continue;
         }
+        floor.add(state, figures, now);
         const double tie = static_cast<double>(random.below(1000)) / 1000 * TieRange;
         if (const double candidate = cost(query, server, state, figures, now) + tie; candidate < bestCost) {
             bestCost = candidate;
@@ -128,6 +176,9 @@
         best.server = nullptr;
         best.failure = PlacementFailure::Saturated;
     }
+    if (const auto missing = floor.missing(query.usedServersFloor)) {
+        best = *missing;
+    }
     best.usableSlots = usableSlots;
     if (best.server != nullptr && best.isCold) {
         coldServerAccepts(service, board.state(best.server->id), query, true, now);
--- a/packages/balance/lib/retrybudget.cpp
+++ b/packages/balance/lib/retrybudget.cpp
@@ -1,6 +1,7 @@
 #include <rhubarbtiller/balance/retrybudget.h>
 
 #include <cassert>
+#include <utility>
 
 namespace rhubarbtiller::balance {
 
@@ -8,8 +9,17 @@
 static constexpr double UsedPart = 0.9;
 
 RetryBudget::RetryBudget(const RetryBudgetBounds &bounds)
-    : ratio(bounds.ratio * UsedPart), slack(bounds.slack * UsedPart), sliceLength(bounds.window / SliceCount)
 {
+    this->reconfigure(bounds);
+}
+
+void RetryBudget::reconfigure(const RetryBudgetBounds &bounds)
+{
+    this->ratio = bounds.ratio * UsedPart;
+    this->slack = bounds.slack * UsedPart;
+    if (const auto length = bounds.window / SliceCount; std::exchange(this->sliceLength, length) != length) {
+        this->services.clear();
+    }
 }
 
 void RetryBudget::setSlackShare(double share)
--- a/packages/balance/lib/scoreboard.cpp
+++ b/packages/balance/lib/scoreboard.cpp
@@ -37,11 +37,18 @@
     return this->servers[server];
 }
 
+const ServerState *Scoreboard::find(const BackendServerId &server) const
+{
+    const auto found = this->servers.find(server);
+    return found == this->servers.end() ? nullptr : &found->second;
+}
+
 void Scoreboard::onSent(const BackendServerId &server, MonotonicTime now)
 {
     auto &state = this->servers[server];
     ++state.ownOutstanding;
     state.lastUsedAt = now;
+    state.lastUsedByFleetAt = now;
 }
 
 void Scoreboard::onFinished(const BackendServerId &server)
@@ -85,11 +92,15 @@
     for (const auto &report : evidence) {
         if (const auto found = this->servers.find(report.server); found != this->servers.end()) {
             found->second.estimator.observe(report.evidence, now);
+            found->second.lastUsedByFleetAt = now;
         }
     }
     for (const auto &report : outstanding) {
         if (const auto found = this->servers.find(report.server); found != this->servers.end()) {
             found->second.setRemoteOutstanding(host, report.requests, now);
+            if (report.requests > 0) {
+                found->second.lastUsedByFleetAt = now;
+            }
         }
     }
 }
--- a/packages/balance/unittests/placementtest.cpp
+++ b/packages/balance/unittests/placementtest.cpp
@@ -228,3 +228,41 @@
     // Spread evenly, 15 in 100 would be lost.
     CHECK(lost * 100 <= sent * 3);
 }
+
+// Servers that failed a while ago stay unused by work that cannot be repeated as long as proven ones have room.
+TEST_CASE("while a service fails its callers, its floor of servers gets work that cannot be repeated")
+{
+    static constexpr int Servers = 9;
+    PlacementFixture fixture(Servers);
+    fixture.query.usedServersFloor = 0.7;
+    for (int i = 0; i < 3; ++i) {
+        fixture.board.observe(BackendServerId("s" + std::to_string(i)), Evidence::BrokenAnswer, fixture.clock.now());
+    }
+    for (int i = 3; i < Servers; ++i) {
+        fixture.board.observe(BackendServerId("s" + std::to_string(i)), Evidence::Success, fixture.clock.now());
+    }
+    fixture.clock.advance(2s);
+    std::set<std::string> used;
+    // 2 s at 12 requests a second.
+    for (int i = 0; i < 24; ++i) {
+        const auto placement = fixture.choose();
+        REQUIRE(placement.server != nullptr);
+        used.insert(placement.server->id.text());
+        fixture.board.onSent(placement.server->id, fixture.clock.now());
+        fixture.board.onFinished(placement.server->id);
+        fixture.clock.advance(83ms);
+    }
+    CHECK(used.size() >= 7);
+}
+
+TEST_CASE("a server that another host uses counts as used")
+{
+    PlacementFixture fixture(2);
+    fixture.query.usedServersFloor = 1;
+    fixture.board.observe(BackendServerId("s0"), Evidence::BrokenAnswer, fixture.clock.now());
+    fixture.clock.advance(10s);
+    fixture.board.onRemote(HostId("other"), {{BackendServerId("s1"), Evidence::Success}}, {}, fixture.clock.now());
+    CHECK(fixture.choose().server->id.text() == "s0");
+    fixture.board.onRemote(HostId("other"), {}, {{BackendServerId("s0"), 1}}, fixture.clock.now());
+    CHECK(fixture.choose().server->id.text() == "s1");
+}
--- a/packages/catalog/include/rhubarbtiller/catalog/catalog.h
+++ b/packages/catalog/include/rhubarbtiller/catalog/catalog.h
@@ -69,12 +69,11 @@
     RequestCount burst;
 };
 
-/// What a caller may send, and how long it may take.
+/// What a caller may send.
 struct CallerLimits
 {
     ByteCount maxHeader{16 * 1024};
     ByteCount maxBody{64 * 1024 * 1024};
-    Duration idleTime = std::chrono::seconds(15);
 };
 
 /// The parts that a catalog is built from.
--- a/packages/gateway/include/rhubarbtiller/gateway/backendclient.h
+++ b/packages/gateway/include/rhubarbtiller/gateway/backendclient.h
@@ -18,8 +18,6 @@
     NotConnected,
     /// The connection ended, or sent something else than an answer, after the request was sent.
     Broken,
-    /// The attempt was cancelled.
-    Cancelled,
 };
 
 struct AttemptOutcome
--- a/packages/gateway/include/rhubarbtiller/gateway/dialect.h
+++ b/packages/gateway/include/rhubarbtiller/gateway/dialect.h
@@ -30,6 +30,8 @@
 /// Why a request got an answer of the system's own.
 enum class RefusalReason {
     Malformed,
+    HeaderTooLarge,
+    BodyTooLarge,
     NoConfiguration,
     NoRoute,
     UnknownKey,
--- a/packages/gateway/include/rhubarbtiller/gateway/gatewayprocess.h
+++ b/packages/gateway/include/rhubarbtiller/gateway/gatewayprocess.h
@@ -44,6 +44,11 @@
     /// Opens the ports and begins to work. Precondition: called once, before the contexts run.
     std::error_code start();
 
+    /// Applies what may change while the process runs; the rest takes a restart, and a log line says so.
+    ///
+    /// Precondition: started. Thread safety: the thread of the serving context.
+    void applySettings(const GatewaySettings &changed);
+
     /// Begins a planned stop. Precondition: started. Thread safety: the thread of the serving context.
     void beginStop();
 
--- a/packages/gateway/include/rhubarbtiller/gateway/settings.h
+++ b/packages/gateway/include/rhubarbtiller/gateway/settings.h
@@ -33,9 +33,15 @@
     /// Time from the signal to stop until the process is killed.
     std::chrono::milliseconds stopGrace{6000};
     balance::RetryBudgetBounds retryBudget;
+    /// The share of a service's servers that get requests at least while it fails its callers, 0 to 1.
+    double usedServersFloor = 0.7;
     /// The time over which an organisation's admissions are counted.
     Duration quotaWindow = std::chrono::seconds(5);
     std::string logLevel = "info";
+    /// Where spans go: "-" for standard error, empty for nowhere, or a file.
+    std::string spanOutput;
+
+    bool operator==(const GatewaySettings &) const = default;
 };
 
 /// Reads and checks the settings; faults go to \p problems. Thread safety: any thread.
--- a/packages/gateway/lib/dialect.cpp
+++ b/packages/gateway/lib/dialect.cpp
@@ -7,6 +7,10 @@
     switch (reason) {
     case RefusalReason::Malformed:
         return "malformed";
+    case RefusalReason::HeaderTooLarge:
+        return "header_too_large";
+    case RefusalReason::BodyTooLarge:
+        return "body_too_large";
     case RefusalReason::NoConfiguration:
         return "no_configuration";
     case RefusalReason::NoRoute:
--- a/packages/gateway/lib/gatewayprocess.cpp
+++ b/packages/gateway/lib/gatewayprocess.cpp
@@ -2,6 +2,7 @@
 
 #include "peerlink.h"
 #include "requestflow.h"
+#include "statepage.h"
 #include "statesync.h"
 #include "thriftcodec.h"
 
@@ -62,6 +63,36 @@
     FlowContext &flow;
 };
 
+/// Answers on the control port; the state page is made on the thread that owns the state.
+class ControlHandler : public http::RequestHandler
+{
+public:
+    using Function = std::function<http::HttpResponse(const http::HttpRequest &)>;
+
+    ControlHandler(asio::io_context &servingContext, std::function<http::HttpResponse()> statePage, Function others)
+        : serving(servingContext), makeStatePage(std::move(statePage)), answerOthers(std::move(others))
+    {
+    }
+
+    void onRequest(http::HttpRequest request, std::shared_ptr<http::Responder> responder) override
+    {
+        if (request.method != "GET" || request.target != StateTarget) {
+            responder->respond(this->answerOthers(request));
+            return;
+        }
+        asio::post(this->serving, [this, responder = std::move(responder)] {
+            responder->respond(this->makeStatePage());
+        });
+    }
+
+private:
+    static constexpr std::string_view StateTarget = "/state";
+
+    asio::io_context &serving;
+    std::function<http::HttpResponse()> makeStatePage;
+    Function answerOthers;
+};
+
 /// Calls a function for each request.
 class FunctionHandler : public http::RequestHandler
 {
@@ -100,12 +131,14 @@
     void registerHost();
     void readHosts();
     void onPublished();
+    void applySettings(const GatewaySettings &changed);
     void beginStop();
     void checkStop();
     void pumpWaiting();
     http::HttpResponse answerAddresses(const http::HttpRequest &request);
     http::HttpResponse answerReadiness(const http::HttpRequest &request);
     http::HttpResponse answerControl(const http::HttpRequest &request);
+    http::HttpResponse answerState();
     std::vector<Endpoint> seedPeers() const;
 
     asio::io_context &serving;
@@ -115,6 +148,7 @@
     SystemClock clock;
     SystemRandom random;
     telemetry::Metrics metrics;
+    std::unique_ptr<telemetry::SpanExporter> spans;
     std::unique_ptr<http::HttpClient> storeClient;
     PlatformParts platform;
     RcuCell<catalog::FleetState> state;
@@ -130,7 +164,7 @@
     CallerHandler callerHandler;
     FunctionHandler directoryHandler;
     FunctionHandler readinessHandler;
-    FunctionHandler controlHandler;
+    ControlHandler controlHandler;
     std::unique_ptr<http::HttpServer> callerServer;
     std::unique_ptr<http::HttpServer> directoryServer;
     std::unique_ptr<http::HttpServer> readinessServer;
@@ -166,6 +200,7 @@
     , control(controlContext)
     , settings(std::move(gatewaySettings))
     , stopped(std::move(whenStopped))
+    , spans(settings.spanOutput.empty() ? nullptr : telemetry::makeJsonLinesExporter(settings.spanOutput))
     , storeClient(http::makeCurlHttpClient(controlContext, clock))
     , platform(factory(settings, *storeClient, clock))
     , directory(ownRecord(settings, clock), settings.entryHostsPerDomain)
@@ -226,13 +261,20 @@
     , readinessHandler([this](const http::HttpRequest &request) {
         return this->answerReadiness(request);
     })
-    , controlHandler([this](const http::HttpRequest &request) {
-        return this->answerControl(request);
-    })
+    , controlHandler(
+          servingContext,
+          [this] {
+              return this->answerState();
+          },
+          [this](const http::HttpRequest &request) {
+              return this->answerControl(request);
+          })
     , stopTimer(servingContext)
     , pumpTimer(servingContext)
     , registerTimer(controlContext)
 {
+    this->flow.usedServersFloor = this->settings.usedServersFloor;
+    this->flow.spans = this->spans.get();
     http::ServerLimits limits;
     limits.maxHeader = ByteCount(64 * 1024);
     limits.maxBody = ByteCount(64 * 1024 * 1024);
@@ -401,6 +443,35 @@
     return {200, {{"Content-Type", "application/octet-stream"}}, this->sync.encodeAnswer(source, after)};
 }
 
+http::HttpResponse GatewayProcess::Parts::answerState()
+{
+    const auto current = this->state.read();
+    const StatePageParts page{this->directory,
+                              this->board,
+                              this->quota,
+                              current.get(),
+                              this->sync.standing(),
+                              this->hasState.load() && !this->isStopping.load(),
+                              this->flow.inProgress};
+    return {200, {{"Content-Type", "application/json"}}, statePage(page, this->clock.now())};
+}
+
+void GatewayProcess::Parts::applySettings(const GatewaySettings &changed)
+{
+    auto applied = this->settings;
+    applied.addressLifetime = changed.addressLifetime;
+    applied.stopGrace = changed.stopGrace;
+    applied.retryBudget = changed.retryBudget;
+    applied.usedServersFloor = changed.usedServersFloor;
+    applied.logLevel = changed.logLevel;
+    const bool needsRestart = applied != changed;
+    this->settings = std::move(applied);
+    this->retries.reconfigure(this->settings.retryBudget);
+    this->flow.usedServersFloor = this->settings.usedServersFloor;
+    telemetry::setLogLevel(telemetry::logLevelByName(this->settings.logLevel));
+    logEvent(LogLevel::Info, "settings_applied", {{"log_level", this->settings.logLevel}, {"needs_restart", needsRestart}});
+}
+
 void GatewayProcess::Parts::beginStop()
 {
     if (this->isStopping.exchange(true)) {
@@ -417,8 +488,8 @@
 /// Looks after the waiting requests, since slots also become free at other hosts.
 void GatewayProcess::Parts::pumpWaiting()
 {
-    RequestFlow::pumpWaiting(this->flow);
-    this->pumpTimer.expires_after(this->flow.line.isEmpty() ? IdlePumpInterval : BusyPumpInterval);
+    this->flow.waiting.pump(this->clock.now());
+    this->pumpTimer.expires_after(this->flow.waiting.isEmpty() ? IdlePumpInterval : BusyPumpInterval);
     this->pumpTimer.async_wait([this](std::error_code error) {
         if (!error) {
             this->pumpWaiting();
@@ -460,6 +531,11 @@
     return this->parts->start();
 }
 
+void GatewayProcess::applySettings(const GatewaySettings &changed)
+{
+    this->parts->applySettings(changed);
+}
+
 void GatewayProcess::beginStop()
 {
     this->parts->beginStop();
--- a/packages/gateway/lib/requestflow.cpp
+++ b/packages/gateway/lib/requestflow.cpp
@@ -11,6 +11,9 @@
 using balance::Evidence;
 using std::chrono::milliseconds;
 
+/// The word for a request that got a server's answer.
+static constexpr std::string_view AnsweredOutcome = "answered";
+
 /// Without a time from the caller or the route.
 static constexpr Duration DefaultPatience = std::chrono::seconds(30);
 
@@ -30,19 +33,14 @@
 static constexpr Duration OverdueAfter = milliseconds(900);
 static constexpr unsigned MaxOverdueNotes = 3;
 
-/// Lines about requests: enough for the usual load of an entry host, with a reserve for requests that were not answered.
-static constexpr RequestRate LogLinesPerSecond(200);
-static constexpr RequestCount LogLineBurst(400);
-static constexpr double LogLineReserve = 200;
-
 /// Failed connections for one request; many are refused at once when the servers of a whole domain are down.
 static constexpr unsigned MaxConnectFailures = 12;
 
-/// When callers may come again: servers free a slot about this often.
 /// Routes of this priority or a higher number leave a part of the retry budget to the others.
 static constexpr int LeastUrgentPriority = 2;
 static constexpr double LeastUrgentReserve = 0.35;
 
+/// When callers may come again: servers free a slot about this often.
 static constexpr Duration SaturatedRetryAfter = milliseconds(300);
 static constexpr Duration NoServerRetryAfter = milliseconds(500);
 static constexpr Duration NoConfigurationRetryAfter = milliseconds(300);
@@ -62,6 +60,7 @@
 {
     this->arrivedAt = this->flow.clock.now();
     this->flow.lastRequestAt = this->arrivedAt;
+    this->trace.emplace(this->flow.spans, message.headers, this->flow.clock, this->flow.random);
     auto decoded = this->flow.dialect.decode(std::move(message));
     if (const auto *const refusal = std::get_if<Refusal>(&decoded)) {
         this->refuse(*refusal);
@@ -109,6 +108,20 @@
     return refusal;
 }
 
+/// Returns the word for spans.
+static std::string_view attemptWord(AttemptEnd end)
+{
+    switch (end) {
+    case AttemptEnd::Answered:
+        return "answered";
+    case AttemptEnd::NotConnected:
+        return "not_connected";
+    case AttemptEnd::Broken:
+        return "broken";
+    }
+    return "unknown";
+}
+
 /// Joins the line; returns whether there is room.
 bool RequestFlow::joinLine()
 {
@@ -116,60 +129,54 @@
     const auto patience = balance::waitingPatience(this->deadline - now);
     const auto hosts = std::max<std::size_t>(1, this->flow.directory.allEntryHosts(now).size());
     const auto limit = balance::waitingLimit(this->usableSlots, patience, hosts);
-    this->ticket = this->flow.nextTicket++;
-    const auto own = this->ticket;
-    this->flow.waiting.emplace(own, this->shared_from_this());
-    const auto refused = this->flow.line.join(this->service, {own, this->priority(), now + patience}, limit);
-    for (const auto id : refused) {
-        const auto found = this->flow.waiting.find(id);
-        if (found == this->flow.waiting.end()) {
-            continue;
-        }
-        const auto displaced = found->second;
-        this->flow.waiting.erase(found);
-        displaced->ticket = 0;
-        if (id != own) {
-            displaced->refuse({RefusalReason::Saturated, true, SaturatedRetryAfter});
-        }
-    }
+    this->ticket = this->flow.waiting.join(this->service, this->priority(), now + patience, limit, this->shared_from_this());
     return this->ticket != 0;
 }
 
 void RequestFlow::leaveLine()
 {
-    if (const auto id = std::exchange(this->ticket, 0); id != 0) {
-        this->flow.line.leave(this->service, id);
-        this->flow.waiting.erase(id);
+    if (const auto own = std::exchange(this->ticket, 0); own != 0) {
+        this->flow.waiting.leave(this->service, own);
     }
 }
 
-void RequestFlow::pumpWaiting(FlowContext &flow)
+bool RequestFlow::tryStart()
 {
-    if (flow.line.isEmpty() || std::exchange(flow.isPumping, true)) {
-        return;
+    const auto refusal = this->sendNext(this->waitsForRepeat);
+    if (refusal && refusal->reason == RefusalReason::Saturated) {
+        return false;
     }
-    for (const auto id : flow.line.takeExpired(flow.clock.now())) {
-        if (auto node = flow.waiting.extract(id); !node.empty()) {
-            node.mapped()->ticket = 0;
-            node.mapped()->refuse({RefusalReason::Saturated, true, SaturatedRetryAfter});
-        }
+    this->leaveLine();
+    if (refusal) {
+        this->refuse(*refusal);
+    } else {
+        this->armTimer();
     }
-    for (const auto &service : flow.line.services()) {
-        while (const auto id = flow.line.first(service)) {
-            const auto next = flow.waiting.at(*id);
-            const auto refusal = next->sendNext(next->waitsForRepeat);
-            if (refusal && refusal->reason == RefusalReason::Saturated) {
-                break;
-            }
-            next->leaveLine();
-            if (refusal) {
-                next->refuse(*refusal);
-            } else {
-                next->armTimer();
-            }
-        }
+    return true;
+}
+
+void RequestFlow::turnAway()
+{
+    this->ticket = 0;
+    this->refuse({RefusalReason::Saturated, true, SaturatedRetryAfter});
+}
+
+/// Returns a refusal if the message is larger than callers may send.
+static std::optional<Refusal> refusalForSize(const http::HttpRequest &message, const catalog::CallerLimits &limits)
+{
+    // Separators and the end of the line come with each header.
+    static constexpr std::size_t HeaderOverhead = 4;
+    std::size_t header = 0;
+    for (const auto &entry : message.headers) {
+        header += entry.name.size() + entry.value.size() + HeaderOverhead;
+    }
+    if (header > limits.maxHeader.count()) {
+        return Refusal{RefusalReason::HeaderTooLarge, true, {}};
+    }
+    if (message.body.size() > limits.maxBody.count()) {
+        return Refusal{RefusalReason::BodyTooLarge, true, {}};
     }
-    flow.isPumping = false;
+    return std::nullopt;
 }
 
 std::optional<Refusal> RequestFlow::admit()
@@ -178,6 +185,9 @@
         return Refusal{RefusalReason::NoConfiguration, true, NoConfigurationRetryAfter};
     }
     const auto &catalog = *this->state->catalog;
+    if (const auto refusal = refusalForSize(this->request.message, catalog.limits())) {
+        return refusal;
+    }
     this->route = catalog.findRoute(this->request.virtualHost, this->request.path);
     if (this->route == nullptr) {
         return Refusal{RefusalReason::NoRoute, true, {}};
@@ -247,6 +257,7 @@
     query.excluded = this->usedServers;
     query.entryHostsInDomain = this->flow.directory.entryHostsPerDomain();
     query.isEntryHost = this->flow.directory.isEntryHost();
+    query.usedServersFloor = this->flow.outcomes.isFailing(this->service, now) ? this->flow.usedServersFloor : 0;
     const auto placement = balance::chooseServer(query, *current, this->flow.board, this->flow.random, now);
     this->usableSlots = placement.usableSlots;
     if (placement.server == nullptr) {
@@ -268,9 +279,10 @@
     call.server = server.id;
     call.address = server.address;
     call.message = this->flow.dialect.attempt(this->request, head);
+    const auto span = this->trace->beginAttempt(call.message.headers, this->flow.clock, this->flow.random);
     const auto number = this->tries.size();
     this->usedServers.push_back(server.id);
-    this->tries.push_back({server.id, now, nullptr, placement.failureProbability, placement.outstanding, 0, true});
+    this->tries.push_back({server.id, now, nullptr, placement.failureProbability, placement.outstanding, 0, true, span});
     this->flow.board.onSent(server.id, now);
     ++this->arrivals;
     ++this->runs;
@@ -285,9 +297,9 @@
 {
     if (std::exchange(closed.isOpen, false)) {
         this->flow.board.onFinished(closed.server);
-        if (!this->flow.line.isEmpty()) {
+        if (!this->flow.waiting.isEmpty()) {
             asio::post(this->flow.context, [&flow = this->flow] {
-                pumpWaiting(flow);
+                flow.waiting.pump(flow.clock.now());
             });
         }
     }
@@ -306,12 +318,11 @@
         return;
     }
     this->closeTry(ended);
+    this->trace->endAttempt(ended.span, ended.server, attemptWord(outcome.end), this->flow.clock.now());
     if (outcome.end != AttemptEnd::NotConnected) {
         this->flow.board.onConnected(ended.server);
     }
     switch (outcome.end) {
-    case AttemptEnd::Cancelled:
-        return;
     case AttemptEnd::NotConnected:
         // Nothing was sent.
         this->flow.board.onConnectFailed(ended.server, this->flow.clock.now());
@@ -345,7 +356,7 @@
     case AnswerMeaning::Ran:
         this->flow.metrics.observeAddedLatency(answered.startedAt - this->arrivedAt);
         this->observe(answered, Evidence::Success);
-        this->respond(this->flow.dialect.callerAnswer(std::move(response)), "answered");
+        this->respond(this->flow.dialect.callerAnswer(std::move(response)), AnsweredOutcome);
         return;
     case AnswerMeaning::RanAndFailed:
         this->observe(answered, Evidence::ServerError);
@@ -403,7 +414,7 @@
     this->leaveLine();
     this->timer.cancel();
     this->cancelTries();
-    this->log("caller_gone", 0);
+    this->record("caller_gone", 0);
 }
 
 void RequestFlow::armTimer()
@@ -473,6 +484,7 @@
     for (auto &open : this->tries) {
         if (open.isOpen) {
             this->closeTry(open);
+            this->trace->endAttempt(open.span, open.server, "cancelled", this->flow.clock.now());
             if (open.attempt) {
                 open.attempt->cancel();
             }
@@ -488,9 +500,12 @@
     this->leaveLine();
     this->timer.cancel();
     this->cancelTries();
+    if (!this->service.isEmpty()) {
+        this->flow.outcomes.note(this->service, outcome == AnsweredOutcome, this->flow.clock.now());
+    }
     const int status = response.status;
     this->responder->respond(std::move(response));
-    this->log(outcome, status);
+    this->record(outcome, status);
 }
 
 void RequestFlow::refuse(const Refusal &refusal)
@@ -502,58 +517,35 @@
     this->respond(this->flow.dialect.refusal(refusal, this->request.id), refusalWord(refusal.reason));
 }
 
-/// Returns whether a line about this request fits into the bound; answered requests leave a reserve to the others.
-bool RequestFlow::mayLog(bool isFailure)
-{
-    const auto now = this->flow.clock.now();
-    auto &lines = this->flow.logLines;
-    lines.reconfigure(LogLinesPerSecond, LogLineBurst);
-    const bool fits = isFailure ? lines.tryTake(now) : lines.level(now) >= LogLineReserve && lines.tryTake(now);
-    if (!fits) {
-        ++this->flow.linesLeftOut;
-        return false;
-    }
-    if (this->flow.linesLeftOut > 0) {
-        telemetry::logEvent(telemetry::LogLevel::Info, "lines_left_out", {{"requests", std::exchange(this->flow.linesLeftOut, 0)}});
-    }
-    return true;
-}
-
-void RequestFlow::log(std::string_view outcome, int status)
+void RequestFlow::record(std::string_view outcome, int status)
 {
     const auto now = this->flow.clock.now();
-    const auto length = now - this->arrivedAt;
     this->flow.metrics.countRequest(this->runs > 0 ? "ran" : "not_run", outcome);
-    if (!this->mayLog(outcome != "answered")) {
+    if (this->trace) {
+        this->trace->end(this->request.id, outcome, status, now);
+    }
+    if (!this->flow.log.accepts(outcome == AnsweredOutcome, now)) {
         return;
     }
-    std::string servers;
-    double failureProbability = 0;
-    std::uint32_t outstanding = 0;
+    RequestRecord line;
+    line.request = this->request.id;
+    line.outcome = outcome;
+    line.status = status;
+    line.length = now - this->arrivedAt;
+    line.route = this->route != nullptr ? this->route->name.text() : "";
+    line.organisation = this->organisation;
+    line.service = this->service;
     for (const auto &each : this->tries) {
-        servers += (servers.empty() ? "" : ",") + each.server.text();
-        failureProbability = each.failureProbability;
-        outstanding = each.outstanding;
-    }
-    telemetry::logEvent(telemetry::LogLevel::Info,
-                        "request",
-                        {{"request", this->request.id.text()},
-                         {"outcome", outcome},
-                         {"status", status},
-                         {"ms", static_cast<std::int64_t>(std::chrono::duration_cast<milliseconds>(length).count())},
-                         {"route", this->route != nullptr ? this->route->name.text() : ""},
-                         {"organisation", this->organisation.text()},
-                         {"service", this->service.text()},
-                         {"servers", servers},
-                         {"failure_probability", failureProbability},
-                         {"outstanding", outstanding},
-                         {"quota_used", this->quota.used},
-                         {"quota_limit", this->quota.limit},
-                         {"configuration", this->state && this->state->catalog ? this->state->catalog->version().count() : 0},
-                         {"state_age_ms",
-                          this->state ? static_cast<std::int64_t>(
-                              std::chrono::duration_cast<milliseconds>(this->arrivedAt - this->state->changedAt).count())
-                                      : 0}});
+        line.servers += (line.servers.empty() ? "" : ",") + each.server.text();
+        line.failureProbability = each.failureProbability;
+        line.outstanding = each.outstanding;
+    }
+    line.quota = this->quota;
+    if (this->state) {
+        line.configuration = this->state->catalog ? this->state->catalog->version() : ConfigVersion();
+        line.stateAge = this->arrivedAt - this->state->changedAt;
+    }
+    this->flow.log.write(line);
 }
 
 } // namespace rhubarbtiller::gateway
--- a/packages/gateway/lib/requestflow.h
+++ b/packages/gateway/lib/requestflow.h
@@ -1,10 +1,14 @@
 #pragma once
 
+#include "requestlog.h"
+#include "requesttrace.h"
+#include "waitingrequests.h"
+
 #include <rhubarbtiller/balance/hostdirectory.h>
 #include <rhubarbtiller/balance/organisationquota.h>
 #include <rhubarbtiller/balance/placement.h>
 #include <rhubarbtiller/balance/retrybudget.h>
-#include <rhubarbtiller/balance/waitingline.h>
+#include <rhubarbtiller/balance/serviceoutcomes.h>
 #include <rhubarbtiller/balance/weightedsplit.h>
 #include <rhubarbtiller/base/rcucell.h>
 #include <rhubarbtiller/gateway/backendclient.h>
@@ -15,8 +19,6 @@
 
 namespace rhubarbtiller::gateway {
 
-class RequestFlow;
-
 /// The objects that the flows of all requests share; used on the thread of the serving context.
 struct FlowContext
 {
@@ -35,37 +37,35 @@
     /// Called after evidence was noted.
     std::function<void()> whenObserved;
     std::uint64_t inProgress = 0;
-    balance::WaitingLine line{};
-    std::map<std::uint64_t, std::shared_ptr<RequestFlow>> waiting{};
-    std::uint64_t nextTicket = 1;
-    bool isPumping = false;
-    /// Bounds the lines about requests under load.
-    balance::TokenBucket logLines{};
-    std::uint64_t linesLeftOut = 0;
+    WaitingRequests waiting{};
+    RequestLog log{};
+    /// Receives the spans; null for none.
+    telemetry::SpanExporter *spans = nullptr;
     MonotonicTime lastRequestAt{};
     /// When a request of an organisation was last admitted.
     MonotonicTime lastServedAt{};
+    balance::ServiceOutcomes outcomes{};
+    /// The share of a service's servers that get requests at least while it fails its callers, 0 to 1.
+    double usedServersFloor = 0;
 };
 
 /// Carries one request of a caller from its arrival to its answer.
 ///
 /// Thread safety: the thread of the serving context.
-class RequestFlow : public std::enable_shared_from_this<RequestFlow>
+class RequestFlow : public std::enable_shared_from_this<RequestFlow>, public WaitingRequests::Waiter
 {
 public:
     /// Precondition: \p flowContext outlives the flow.
     RequestFlow(FlowContext &flowContext, std::shared_ptr<http::Responder> callerResponder);
-    ~RequestFlow();
+    ~RequestFlow() override;
     RequestFlow(const RequestFlow &) = delete;
     RequestFlow &operator=(const RequestFlow &) = delete;
 
     /// Begins; the caller gets exactly one answer. Precondition: called once.
     void start(http::HttpRequest message);
 
-    /// Starts waiting requests while servers have room, and refuses those that cannot start in time any more.
-    ///
-    /// Precondition: none.
-    static void pumpWaiting(FlowContext &flow);
+    bool tryStart() override;
+    void turnAway() override;
 
 private:
     struct Try
@@ -77,6 +77,7 @@
         std::uint32_t outstanding = 0;
         unsigned overdueNoted = 0;
         bool isOpen = false;
+        RequestTrace::Attempt span;
     };
 
     std::optional<Refusal> admit();
@@ -101,13 +102,13 @@
     void respond(http::HttpResponse response, std::string_view outcome);
     void refuse(const Refusal &refusal);
     void cancelTries();
-    void log(std::string_view outcome, int status);
-    bool mayLog(bool isFailure);
+    void record(std::string_view outcome, int status);
 
     FlowContext &flow;
     std::shared_ptr<http::Responder> responder;
     std::shared_ptr<const catalog::FleetState> state;
     CallerRequest request;
+    std::optional<RequestTrace> trace;
     const catalog::Route *route = nullptr;
     OrganisationId organisation;
     balance::QuotaDecision quota;
--- /dev/null
+++ b/packages/gateway/lib/requestlog.cpp
@@ -0,0 +1,50 @@
+#include "requestlog.h"
+
+#include <rhubarbtiller/telemetry/log.h>
+
+#include <utility>
+
+namespace rhubarbtiller::gateway {
+
+/// Lines about requests: enough for the usual load of an entry host, with a reserve for requests that were not answered.
+static constexpr RequestRate LogLinesPerSecond(200);
+static constexpr RequestCount LogLineBurst(400);
+static constexpr double LogLineReserve = 200;
+
+static std::int64_t milliseconds(Duration duration)
+{
+    return static_cast<std::int64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
+bool RequestLog::accepts(bool isAnswered, MonotonicTime now)
+{
+    this->lines.reconfigure(LogLinesPerSecond, LogLineBurst);
+    const bool fits = isAnswered ? this->lines.level(now) >= LogLineReserve && this->lines.tryTake(now) : this->lines.tryTake(now);
+    this->leftOut += fits ? 0 : 1;
+    return fits;
+}
+
+void RequestLog::write(const RequestRecord &record)
+{
+    if (this->leftOut > 0) {
+        telemetry::logEvent(telemetry::LogLevel::Info, "lines_left_out", {{"requests", std::exchange(this->leftOut, 0)}});
+    }
+    telemetry::logEvent(telemetry::LogLevel::Info,
+                        "request",
+                        {{"request", record.request.text()},
+                         {"outcome", record.outcome},
+                         {"status", record.status},
+                         {"ms", milliseconds(record.length)},
+                         {"route", record.route},
+                         {"organisation", record.organisation.text()},
+                         {"service", record.service.text()},
+                         {"servers", record.servers},
+                         {"failure_probability", record.failureProbability},
+                         {"outstanding", record.outstanding},
+                         {"quota_used", record.quota.used},
+                         {"quota_limit", record.quota.limit},
+                         {"configuration", record.configuration.count()},
+                         {"state_age_ms", milliseconds(record.stateAge)}});
+}
+
+} // namespace rhubarbtiller::gateway
--- a/packages/gateway/lib/settings.cpp
+++ b/packages/gateway/lib/settings.cpp
@@ -60,11 +60,13 @@
     const double grace = reader.number("stopGraceSeconds", std::chrono::duration<double>(settings.stopGrace).count(), 0, MaxGraceSeconds);
     settings.stopGrace = std::chrono::duration_cast<milliseconds>(std::chrono::duration<double>(grace));
     settings.retryBudget = readRetryBudget(reader.object("retryBudget", false), reader.pathOf("retryBudget"), problems);
+    settings.usedServersFloor = reader.number("usedServersFloor", settings.usedServersFloor, 0, 1);
     constexpr double MaxWindowSeconds = 3600;
     const double window
         = reader.number("quotaWindowSeconds", std::chrono::duration<double>(settings.quotaWindow).count(), 0.1, MaxWindowSeconds);
     settings.quotaWindow = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(window));
     settings.logLevel = reader.choice("logLevel", settings.logLevel, {"debug", "info", "warning", "error"});
+    settings.spanOutput = reader.text("spanOutput", settings.spanOutput);
     reader.finish();
     if (!problems.empty()) {
         return std::nullopt;
--- a/packages/gateway/unittests/requestflowtest.cpp
+++ b/packages/gateway/unittests/requestflowtest.cpp
@@ -378,6 +378,29 @@
         last = fixture.ask("/write/x");
     } while (fixture.backend.sent.size() > before);
     last->disconnect();
-    CHECK(fixture.flow.line.isEmpty());
-    CHECK(fixture.flow.waiting.empty());
+    CHECK(fixture.flow.waiting.isEmpty());
+    CHECK(fixture.flow.waiting.isEmpty());
+}
+
+// Guards against a body that exceeds the bound of the configuration and reaches a server.
+TEST_CASE("a request that is larger than the configuration allows is refused")
+{
+    FlowFixture fixture;
+    auto state = std::make_shared<catalog::FleetState>(*fixture.state.read());
+    catalog::CatalogParts parts;
+    parts.routes = {FlowFixture::route("/write/", catalog::Repeatability::AtMostOnce, 1)};
+    parts.limits.maxBody = ByteCount(10);
+    parts.limits.maxHeader = ByteCount(200);
+    state->catalog = std::make_shared<catalog::Catalog>(std::move(parts));
+    fixture.state.publish(state);
+    const auto send = [&fixture](const std::string &body, const std::string &header) {
+        http::HttpRequest request{"POST", "/write/x", {{"Host", "host"}, {"Id", "r"}, {"Filler", header}}, body};
+        auto responder = std::make_shared<FakeResponder>();
+        std::make_shared<RequestFlow>(fixture.flow, responder)->start(std::move(request));
+        return reasonOf(*responder);
+    };
+    CHECK(send("eleven byte", "") == "body_too_large");
+    CHECK(send("", std::string(200, 'x')) == "header_too_large");
+    CHECK(send("ten bytes!", "") == "unknown_key");
+    CHECK(fixture.backend.sent.empty());
 }
