--- a/apps/rhubarbtillerctl/main.cpp
+++ b/apps/rhubarbtillerctl/main.cpp
@@ -1,4 +1,5 @@
 #include <rhubarbtiller/http/curlhttpclient.h>
+#include <rhubarbtiller/http/errors.h>
 #include <rhubarbtiller/operatorclient/commands.h>
 #include <rhubarbtiller/settings/settingsfile.h>
 #include <rhubarbtiller/tablestore/dynamotableservice.h>
@@ -83,6 +84,36 @@
     return options;
 }
 
+/// A host answers at once; one that does not is listed as silent.
+static constexpr std::chrono::milliseconds StatePageTimeout{1000};
+
+static Result<std::string> readStatePage(const Endpoint &controlAddress)
+{
+    const SystemClock clock;
+    asio::io_context context;
+    const auto work = asio::make_work_guard(context);
+    const auto client = http::makeCurlHttpClient(context, clock);
+    http::HttpCall call;
+    call.server = controlAddress;
+    call.request.method = "GET";
+    call.request.target = "/state";
+    call.deadline = clock.now() + StatePageTimeout;
+    call.maxAnswer = ByteCount(64 * 1024 * 1024);
+    http::HttpOutcome outcome{make_error_code(http::HttpError::InternalError), false};
+    client->send(std::move(call), [&context, &outcome](http::HttpOutcome received) {
+        outcome = std::move(received);
+        context.stop();
+    });
+    context.run();
+    if (!outcome.response) {
+        return outcome.response.error();
+    }
+    if (outcome.response->status != 200) {
+        return make_error_code(http::HttpError::MalformedResponse);
+    }
+    return std::move(outcome.response).value().body;
+}
+
 int main(int argc, char **argv)
 {
     gflags::SetUsageMessage(operatorclient::usageText());
@@ -98,5 +129,5 @@
         connections = std::make_unique<Connections>(*settings);
         return &connections->session;
     };
-    return static_cast<int>(operatorclient::runCommand(words, optionsFromFlags(), openSession, std::cout, std::cerr));
+    return static_cast<int>(operatorclient::runCommand(words, optionsFromFlags(), openSession, readStatePage, std::cout, std::cerr));
 }
--- /dev/null
+++ b/packages/gateway/lib/statepage.cpp
@@ -0,0 +1,82 @@
+#include "statepage.h"
+
+#include <nlohmann/json.hpp>
+
+namespace rhubarbtiller::gateway {
+
+using nlohmann::json;
+
+static std::int64_t milliseconds(Duration duration)
+{
+    return static_cast<std::int64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
+static json hostsPart(const balance::HostDirectory &directory, MonotonicTime now)
+{
+    json entryHosts = json::array();
+    for (const auto *const host : directory.allEntryHosts(now)) {
+        entryHosts.push_back({{"id", host->id.text()}, {"failureDomain", host->failureDomain.text()}, {"isLeaving", host->isLeaving}});
+    }
+    return {{"entry", std::move(entryHosts)},
+            {"livingPeers", directory.livingPeers(now)},
+            {"known", directory.knownHosts(now).size()},
+            {"rankInDomain", directory.ownRank(now)}};
+}
+
+static json serversPart(const StatePageParts &parts, MonotonicTime now)
+{
+    json servers = json::array();
+    if (parts.state == nullptr || !parts.state->servers) {
+        return servers;
+    }
+    for (const auto &entry : parts.state->servers->entries()) {
+        json server{{"id", entry.id.text()},
+                    {"service", entry.service.text()},
+                    {"failureDomain", entry.failureDomain.text()},
+                    {"slots", entry.slots.count()},
+                    {"isDraining", entry.isDraining},
+                    {"isEvacuated", parts.state->evacuatedDomains.contains(entry.failureDomain)},
+                    {"coldForMs", std::max<std::int64_t>(0, milliseconds(entry.coldUntil - now))}};
+        if (const auto *const standing = parts.board.find(entry.id)) {
+            server["failureProbability"] = standing->estimator.failureProbability(now);
+            server["outstanding"] = standing->ownOutstanding + standing->remoteOutstanding(now);
+            server["connectFailures"] = standing->connectFailures;
+        }
+        servers.push_back(std::move(server));
+    }
+    return servers;
+}
+
+static json organisationsPart(const balance::OrganisationQuota &quota, MonotonicTime now)
+{
+    json organisations = json::array();
+    for (const auto &standing : quota.standings(now)) {
+        organisations.push_back({{"id", standing.organisation.text()}, {"used", standing.used}, {"limit", standing.limit}});
+    }
+    return organisations;
+}
+
+std::string statePage(const StatePageParts &parts, MonotonicTime now)
+{
+    const auto &own = parts.directory.own();
+    const auto *const catalog = parts.state != nullptr ? parts.state->catalog.get() : nullptr;
+    const json document{
+        {"host", own.id.text()},
+        {"failureDomain", own.failureDomain.text()},
+        {"incarnation", own.incarnation.count()},
+        {"role", parts.directory.isEntryHost() ? "entry" : "standby"},
+        {"isReady", parts.isReady},
+        {"isLeaving", own.isLeaving},
+        {"requestsInProgress", parts.requestsInProgress},
+        {"configuration",
+         {{"version", catalog != nullptr ? catalog->version().count() : 0}, {"storeVersion", parts.standing.configurationVersion}}},
+        {"stateAgeMs", parts.state != nullptr ? json(milliseconds(now - parts.state->changedAt)) : json()},
+        {"serversVersion", parts.standing.serversVersion},
+        {"storeContactAgeMs", parts.standing.storeContactAge ? json(milliseconds(*parts.standing.storeContactAge)) : json()},
+        {"hosts", hostsPart(parts.directory, now)},
+        {"backendServers", serversPart(parts, now)},
+        {"organisations", organisationsPart(parts.quota, now)}};
+    return document.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+} // namespace rhubarbtiller::gateway
--- /dev/null
+++ b/packages/gateway/lib/statepage.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "statesync.h"
+
+#include <rhubarbtiller/balance/hostdirectory.h>
+#include <rhubarbtiller/balance/organisationquota.h>
+#include <rhubarbtiller/balance/scoreboard.h>
+
+#include <string>
+
+namespace rhubarbtiller::gateway {
+
+/// What the state page is made of.
+struct StatePageParts
+{
+    const balance::HostDirectory &directory;
+    const balance::Scoreboard &board;
+    const balance::OrganisationQuota &quota;
+    const catalog::FleetState *state;
+    OwnStanding standing;
+    bool isReady = false;
+    std::uint64_t requestsInProgress = 0;
+};
+
+/// Returns what this host believes as a JSON document, for operators.
+///
+/// Precondition: none. Thread safety: the thread that owns the parts.
+std::string statePage(const StatePageParts &parts, MonotonicTime now);
+
+} // namespace rhubarbtiller::gateway
--- a/packages/operatorclient/include/rhubarbtiller/operatorclient/commands.h
+++ b/packages/operatorclient/include/rhubarbtiller/operatorclient/commands.h
@@ -24,6 +24,9 @@
     std::optional<std::uint64_t> baseRevision;
 };
 
+/// Reads the state page of a host of a gateway fleet, by its control address.
+using StatePageReader = std::function<Result<std::string>(const Endpoint &controlAddress)>;
+
 /// Opens a session when a command needs one; returns nullptr after a message if the settings have faults.
 using SessionFactory = std::function<Session *()>;
 
@@ -33,6 +36,7 @@
 ExitCode runCommand(const std::vector<std::string> &words,
                     const Options &options,
                     const SessionFactory &openSession,
+                    const StatePageReader &readStatePage,
                     std::ostream &output,
                     std::ostream &errors);
 
--- a/packages/operatorclient/lib/commands.cpp
+++ b/packages/operatorclient/lib/commands.cpp
@@ -1,5 +1,6 @@
 #include <rhubarbtiller/operatorclient/commands.h>
 
+#include "gatewaystatus.h"
 #include "tablefolder.h"
 
 #include <rhubarbtiller/base/digest.h>
@@ -10,6 +11,7 @@
 #include <algorithm>
 #include <iomanip>
 #include <ostream>
+#include <sstream>
 
 using nlohmann::json;
 
@@ -23,6 +25,7 @@
     const std::vector<std::string> &arguments;
     const Options &options;
     const SessionFactory &openSession;
+    const StatePageReader &readStatePage;
     std::ostream &output;
     std::ostream &errors;
 };
@@ -343,6 +346,41 @@
     return ExitCode::Success;
 }
 
+/// Returns the parts of a text between commas.
+static std::vector<std::string> splitAtCommas(const std::string &text)
+{
+    std::vector<std::string> parts;
+    std::istringstream stream(text);
+    for (std::string part; std::getline(stream, part, ',');) {
+        parts.push_back(part);
+    }
+    return parts;
+}
+
+static ExitCode gatewayStatus(const Context &context)
+{
+    json hosts = json::array();
+    bool hasAnswer = false;
+    for (const auto &address : splitAtCommas(context.arguments.front())) {
+        json host{{"address", address}};
+        const auto page = context.readStatePage(Endpoint(address));
+        auto state = page ? json::parse(page.value(), nullptr, false) : json();
+        if (state.is_object()) {
+            host["state"] = std::move(state);
+            hasAnswer = true;
+        } else {
+            host["error"] = page ? std::string("not a state page") : page.error().message();
+        }
+        hosts.push_back(std::move(host));
+    }
+    if (context.options.asJson) {
+        context.output << hosts.dump(2, ' ', false, json::error_handler_t::replace) << "\n";
+    } else {
+        printGatewayStatus(hosts, context.output);
+    }
+    return hasAnswer ? ExitCode::Success : ExitCode::NotFound;
+}
+
 static constexpr Command Commands[] = {
     {"check", "FOLDER", "check routes.json and pools.json without the store", check},
     {"diff", "FOLDER", "show how the folder differs from the tables in force", diff},
@@ -354,6 +392,7 @@
     {"server-drain", "SERVER", "give a backend server no new work (--reason)", drainServer},
     {"server-return", "SERVER", "give a backend server work again", returnServer},
     {"host-drain", "HOST", "have a host begin its planned stop", drainHost},
+    {"gateway-status", "ADDRESS,...", "show what hosts of a gateway fleet believe, by their control addresses (--json; needs no settings)", gatewayStatus},
     {"status", nullptr, "show the version in force on each host, ejections, rates (--json)", status},
 };
 
@@ -373,6 +412,7 @@
 ExitCode runCommand(const std::vector<std::string> &words,
                     const Options &options,
                     const SessionFactory &openSession,
+                    const StatePageReader &readStatePage,
                     std::ostream &output,
                     std::ostream &errors)
 {
@@ -385,7 +425,7 @@
         return ExitCode::Usage;
     }
     const std::vector<std::string> arguments(words.begin() + 1, words.end());
-    return command->run({arguments, options, openSession, output, errors});
+    return command->run({arguments, options, openSession, readStatePage, output, errors});
 }
 
 } // namespace rhubarbtiller::operatorclient
