Add a randomized fault soak of the gateway programs

Six real host processes, a stand-in of the platform's row store, backend servers behind loopback links that delay, silence, cut one way or reset connections, and callers that keep their connections open. Signals kill, stop, pause and restart hosts; the store refuses, is silent, slow, loses writes or drops its history. The checks judge what callers and servers saw: at most once, true refusals, whole answers, changes in force, planned stops, rates, retry budget, cold servers, recovery. RHUBARBTILLER_SEED plays one seed, RHUBARBTILLER_SOAK_SEEDS="FIRST COUNT" a range.

--- a/tests/fleet/httpconnection.h
+++ b/tests/fleet/httpconnection.h
@@ -39,7 +39,8 @@
     HttpConnection(const HttpConnection &) = delete;
     HttpConnection &operator=(const HttpConnection &) = delete;
 
-    /// Sends a request and reads its response; connects first if needed. \p headers are lines that each end with "\r\n".
+    /// Sends a request and reads its response; connects first if needed. \p headers are lines that each end with "\r\n";
+    /// the address is the Host unless the first line names one.
     HttpReply call(const std::string &method,
                    const std::string &target,
                    const std::string &headers = "",
--- /dev/null
+++ b/tests/soak/backendworld.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "callers.h"
+#include "faultproxy.h"
+#include "workserver.h"
+
+#include <rhubarbtiller/testing/rowstorestandin.h>
+
+#include <asio/executor_work_guard.hpp>
+#include <asio/io_context.hpp>
+
+#include <functional>
+#include <memory>
+#include <random>
+#include <thread>
+#include <vector>
+
+namespace rhubarbtiller::soak {
+
+/// The stand-ins around the hosts: the store with the operator's configuration, and the backend servers behind their links.
+///
+/// They run on a thread of their own. Thread safety: one thread calls the methods, which wait for that thread.
+class BackendWorld
+{
+public:
+    explicit BackendWorld(std::uint64_t runSeed);
+    ~BackendWorld();
+    BackendWorld(const BackendWorld &) = delete;
+    BackendWorld &operator=(const BackendWorld &) = delete;
+
+    /// Runs an action on the thread of the stand-ins and waits for it. Precondition: not called on that thread.
+    void perform(const std::function<void()> &action);
+
+    asio::io_context &ioContext()
+    {
+        return this->context;
+    }
+
+    testing::RowStoreStandin &rowStore()
+    {
+        return *this->store;
+    }
+
+    /// Returns what callers need to know, but for the hosts. Precondition: none.
+    CallerWorld describe() const;
+
+    /// Organisations with a rate. Precondition: none.
+    static std::map<std::string, std::pair<double, double>> rates();
+
+    static double coldRate();
+
+    /// Has a random server fail a share of its requests until the returned action runs. Precondition: none.
+    std::function<void()> harmServer(ServerFault fault, double share);
+
+    /// Harms the link to a random server until the returned action runs. Precondition: none.
+    std::function<void()> harmLink(LinkMode mode);
+
+    /// Has a random server vanish; the returned action starts another one in its place. Precondition: none.
+    std::function<void()> crashServer();
+
+    /// Has a random server announce that it leaves, and starts another one; the returned action ends it. Precondition: none.
+    std::function<void()> drainServer();
+
+    /// Withdraws one key if one is left that may go. Precondition: none.
+    void withdrawKey();
+
+    /// Moves the route that is moved from one service to the other. Precondition: none.
+    void moveRoute();
+
+    /// Evacuates a random failure domain until the returned action runs. Precondition: none.
+    std::function<void()> evacuateDomain();
+
+    /// Ends the stand-ins and hands over what they recorded. Precondition: called once, after the hosts have ended.
+    void finish(SoakHistory &history);
+
+private:
+    struct ServerPlace
+    {
+        std::unique_ptr<WorkServer> server;
+        std::unique_ptr<FaultProxy> link;
+        bool isLeaving = false;
+    };
+
+    void startServer(const std::string &service, const std::string &domain, bool isCold);
+    void writeEntry(const ServerPlace &place, const std::string &state, double coldSeconds);
+    void writeConfiguration();
+    ServerPlace *pickServer();
+    void endServer(const std::string &id);
+
+    asio::io_context context{1};
+    asio::executor_work_guard<asio::io_context::executor_type> work;
+    std::thread thread;
+    std::mt19937_64 random;
+    std::unique_ptr<testing::RowStoreStandin> store;
+    std::vector<std::unique_ptr<ServerPlace>> servers;
+    /// Servers that have ended; their connections may still be open.
+    std::vector<std::unique_ptr<ServerPlace>> ended;
+    std::vector<Arrival> arrivals;
+    std::vector<AcknowledgedChange> changes;
+    std::uint64_t version = 0;
+    std::uint64_t nextServer = 1;
+    std::vector<std::string> withdrawableKeys;
+    std::string movedTo;
+};
+
+} // namespace rhubarbtiller::soak
--- /dev/null
+++ b/tests/soak/gatewayfleet.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "faultproxy.h"
+#include "history.h"
+
+#include "../fleet/process.h"
+
+#include <filesystem>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace rhubarbtiller::soak {
+
+/// The real host programs, each a process with a loopback address and a link to the store of its own.
+///
+/// Thread safety: one thread, which is not that of the io_context; the io_context runs until the fleet is gone.
+class GatewayFleet
+{
+public:
+    static constexpr int HostCount = 6;
+
+    /// Precondition: the references outlive the fleet; \p storeAddress listens.
+    GatewayFleet(asio::io_context &ioContext, const Endpoint &storeAddress, std::uint64_t runSeed);
+    ~GatewayFleet();
+    GatewayFleet(const GatewayFleet &) = delete;
+    GatewayFleet &operator=(const GatewayFleet &) = delete;
+
+    /// Starts a host's program. Precondition: it does not run.
+    void start(int host);
+
+    /// Sends a signal to a host's program. Precondition: none.
+    void signal(int host, int number);
+
+    /// Returns the exit code once the program has ended, 128 + n for signal n. Precondition: none.
+    std::optional<int> exitCode(int host);
+
+    /// Rewrites the settings file with another log level and tells the program. Precondition: none.
+    void changeSettings(int host);
+
+    /// Returns whether a host says that it is ready. Precondition: none.
+    bool isReady(int host) const;
+
+    /// Returns the link from a host to the store; used on the thread of the io_context. Precondition: none.
+    FaultProxy &storeLink(int host);
+
+    /// Returns the number of the host with a caller address, or -1. Thread safety: any thread.
+    int hostOf(const std::string &callerAddress) const;
+
+    std::vector<std::string> directoryAddresses() const;
+
+    static const std::vector<std::string> &failureDomains();
+
+    /// Has the logs kept after the run. Precondition: none.
+    void keepLogs();
+
+private:
+    struct Host
+    {
+        std::string ip;
+        std::unique_ptr<FaultProxy> storeLink;
+        std::unique_ptr<fleettests::Process> process;
+        bool isVerbose = false;
+    };
+
+    void writeSettings(int host) const;
+    std::filesystem::path settingsFile(int host) const;
+
+    asio::io_context &context;
+    std::filesystem::path folder;
+    std::vector<Host> hosts;
+    bool keepsLogs = false;
+};
+
+} // namespace rhubarbtiller::soak
--- /dev/null
+++ b/tests/soak/soaktest.cpp
@@ -0,0 +1,444 @@
+#include "backendworld.h"
+#include "callers.h"
+#include "gatewayfleet.h"
+
+#include <doctest/doctest.h>
+
+#include <array>
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+#include <random>
+
+using namespace rhubarbtiller;
+using namespace rhubarbtiller::soak;
+using namespace std::chrono_literals;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+/// How long faults begin; the last ones end a few seconds later.
+static constexpr milliseconds FaultTime{12'000};
+static constexpr milliseconds ReadyBound{10'000};
+static constexpr milliseconds RestartPause{300};
+static constexpr milliseconds PollInterval{20};
+static constexpr milliseconds AfterRecovery{3000};
+static constexpr int CallerCount = 12;
+
+namespace {
+
+enum class FaultKind {
+    KillHost,
+    KillAllHosts,
+    StopHost,
+    RollingStop,
+    PauseHost,
+    ChangeSettings,
+    StoreRefuses,
+    StoreIsSilent,
+    StoreIsSlow,
+    StoreLosesWrites,
+    HistoryIsGone,
+    StoreLinkIsHarmed,
+    ServerFails,
+    ServerLinkIsHarmed,
+    ServerCrashes,
+    ServerLeaves,
+    KeyIsWithdrawn,
+    RouteIsMoved,
+    DomainIsEvacuated,
+};
+
+constexpr int FaultKinds = static_cast<int>(FaultKind::DomainIsEvacuated) + 1;
+
+/// One randomized run: the real programs, the stand-ins around them, callers, and a series of faults.
+class SoakRun
+{
+public:
+    explicit SoakRun(std::uint64_t runSeed) : random(runSeed), backend(runSeed), fleet(backend.ioContext(), this->storeAddress(), runSeed)
+    {
+        this->callerWorld = this->backend.describe();
+        this->callerWorld.directories = this->fleet.directoryAddresses();
+        this->callerWorld.hostOf = [this](const std::string &address) {
+            return this->fleet.hostOf(address);
+        };
+    }
+
+    /// Returns the broken promises.
+    std::vector<std::string> run()
+    {
+        const auto readyBy = steady_clock::now() + ReadyBound;
+        while (!this->areAllReady()) {
+            if (steady_clock::now() > readyBy) {
+                return this->failed("ready: not all hosts are ready after " + std::to_string(ReadyBound.count()) + " ms");
+            }
+            std::this_thread::sleep_for(PollInterval);
+        }
+        Callers callers(this->callerWorld, CallerCount, this->random());
+        this->planFaults();
+        this->playUntil([this] {
+            return this->queue.empty() && this->areAllRunning();
+        });
+        const auto healedAt = steady_clock::now();
+        const auto endAt = healedAt + this->bounds.recovery + AfterRecovery;
+        this->playUntil([endAt] {
+            return steady_clock::now() >= endAt;
+        });
+        SoakHistory history;
+        history.healedAt = healedAt;
+        history.calls = callers.stop();
+        history.disturbances = this->disturbances;
+        history.stops = this->stops;
+        this->backend.finish(history);
+        std::size_t served = 0;
+        for (const auto &call : history.calls) {
+            served += call.status == 200 ? 1 : 0;
+        }
+        std::cout << "calls " << history.calls.size() << ", served " << served << ", arrivals " << history.arrivals.size() << std::endl;
+        auto lines = brokenPromises(history, this->bounds);
+        lines.insert(lines.end(), this->ownLines.begin(), this->ownLines.end());
+        return lines.empty() ? lines : this->failed(lines);
+    }
+
+private:
+    using Action = std::function<void()>;
+
+    Endpoint storeAddress()
+    {
+        Endpoint address;
+        this->backend.perform([&] {
+            address = this->backend.rowStore().boundAddress();
+        });
+        return address;
+    }
+
+    std::vector<std::string> failed(const std::string &line)
+    {
+        return this->failed(std::vector<std::string>{line});
+    }
+
+    std::vector<std::string> failed(std::vector<std::string> lines)
+    {
+        this->fleet.keepLogs();
+        return lines;
+    }
+
+    bool areAllReady()
+    {
+        for (int host = 0; host < GatewayFleet::HostCount; ++host) {
+            if (!this->fleet.isReady(host)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    bool areAllRunning()
+    {
+        for (int host = 0; host < GatewayFleet::HostCount; ++host) {
+            if (this->expectedEnds[static_cast<std::size_t>(host)] || this->fleet.exitCode(host)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    void playUntil(const std::function<bool()> &isOver)
+    {
+        while (!isOver()) {
+            while (!this->queue.empty() && this->queue.begin()->first <= steady_clock::now()) {
+                const auto action = this->queue.extract(this->queue.begin()).mapped();
+                action();
+            }
+            this->restartEndedHosts();
+            std::this_thread::sleep_for(PollInterval);
+        }
+    }
+
+    void restartEndedHosts()
+    {
+        for (int host = 0; host < GatewayFleet::HostCount; ++host) {
+            auto &expected = this->expectedEnds[static_cast<std::size_t>(host)];
+            const auto code = this->fleet.exitCode(host);
+            if (!code) {
+                if (expected && expected->isPlanned && steady_clock::now() > expected->at + this->bounds.grace) {
+                    this->ownLines.push_back("planned stop: h" + std::to_string(host) + " still runs after the grace time");
+                    expected->isPlanned = false;
+                    this->fleet.signal(host, SIGKILL);
+                }
+                continue;
+            }
+            if (!expected || (expected->isPlanned && *code != 0)) {
+                this->ownLines.push_back("exit: h" + std::to_string(host) + " ended by itself with code " + std::to_string(*code));
+            }
+            const auto now = steady_clock::now();
+            expected.reset();
+            this->disturbances.push_back({host, now - PollInterval, now + RestartPause});
+            this->fleet.start(host);
+        }
+    }
+
+    void at(milliseconds delay, Action action)
+    {
+        this->queue.emplace(steady_clock::now() + delay, std::move(action));
+    }
+
+    /// Harms all hosts or one for some time, and has the harm end.
+    void harm(int host, milliseconds length, Action end)
+    {
+        const auto now = steady_clock::now();
+        this->disturbances.push_back({host, now, now + length + PollInterval * 2});
+        this->at(length, std::move(end));
+    }
+
+    milliseconds between(int least, int most)
+    {
+        return milliseconds(std::uniform_int_distribution<int>(least, most)(this->random));
+    }
+
+    int anyHost()
+    {
+        return static_cast<int>(this->random() % GatewayFleet::HostCount);
+    }
+
+    void planFaults()
+    {
+        // A run mixes a few kinds, so that the others stay calm around them.
+        std::vector<FaultKind> kinds;
+        const auto count = 2 + this->random() % 4;
+        for (std::uint64_t i = 0; i < count; ++i) {
+            kinds.push_back(static_cast<FaultKind>(this->random() % FaultKinds));
+        }
+        const auto faults = 5 + this->random() % 8;
+        for (std::uint64_t i = 0; i < faults; ++i) {
+            const auto kind = kinds[this->random() % kinds.size()];
+            this->at(this->between(0, static_cast<int>(FaultTime.count())), [this, kind] {
+                this->begin(kind);
+            });
+        }
+    }
+
+    void say(const std::string &what)
+    {
+        const auto ms = std::chrono::duration_cast<milliseconds>(steady_clock::now() - this->beganAt).count();
+        std::cout << "  " << ms << " ms: " << what << std::endl;
+    }
+
+    void stopHost(int host)
+    {
+        auto &expected = this->expectedEnds[static_cast<std::size_t>(host)];
+        if (expected) {
+            return;
+        }
+        this->say("SIGTERM h" + std::to_string(host));
+        expected = ExpectedEnd{steady_clock::now(), true};
+        this->stops.push_back({host, steady_clock::now()});
+        this->fleet.signal(host, SIGTERM);
+    }
+
+    void killHost(int host)
+    {
+        auto &expected = this->expectedEnds[static_cast<std::size_t>(host)];
+        this->say("SIGKILL h" + std::to_string(host));
+        const auto now = steady_clock::now();
+        expected = ExpectedEnd{now, false};
+        this->disturbances.push_back({host, now, now + RestartPause});
+        this->fleet.signal(host, SIGKILL);
+    }
+
+    void harmStore(const char *what, milliseconds length, const std::function<void(testing::ServiceFaults &)> &change)
+    {
+        this->say("store " + std::string(what) + " for " + std::to_string(length.count()) + " ms");
+        this->backend.perform([&] {
+            this->backend.rowStore().refusalStatus = this->random() % 2 == 0 ? 503 : 429;
+            change(this->backend.rowStore().faults);
+        });
+        this->harm(-1, length, [this] {
+            this->backend.perform([this] {
+                this->backend.rowStore().faults = {};
+            });
+        });
+    }
+
+    void begin(FaultKind kind)
+    {
+        const auto length = this->between(500, 4000);
+        switch (kind) {
+        case FaultKind::KillHost:
+            this->killHost(this->anyHost());
+            return;
+        case FaultKind::KillAllHosts:
+            for (int host = 0; host < GatewayFleet::HostCount; ++host) {
+                this->killHost(host);
+            }
+            return;
+        case FaultKind::StopHost:
+            this->stopHost(this->anyHost());
+            return;
+        case FaultKind::RollingStop:
+            for (int host = 0; host < GatewayFleet::HostCount; ++host) {
+                this->at(1000ms * host, [this, host] {
+                    this->stopHost(host);
+                });
+            }
+            return;
+        case FaultKind::PauseHost: {
+            const int host = this->anyHost();
+            this->say("SIGSTOP h" + std::to_string(host) + " for " + std::to_string(length.count()) + " ms");
+            this->fleet.signal(host, SIGSTOP);
+            this->harm(host, length, [this, host] {
+                this->fleet.signal(host, SIGCONT);
+            });
+            return;
+        }
+        case FaultKind::ChangeSettings: {
+            const int host = this->anyHost();
+            this->say("SIGHUP h" + std::to_string(host));
+            this->fleet.changeSettings(host);
+            return;
+        }
+        case FaultKind::StoreRefuses:
+            this->harmStore("refuses", length, [](testing::ServiceFaults &faults) {
+                faults.outage = testing::OutageMode::Refuse;
+            });
+            return;
+        case FaultKind::StoreIsSilent:
+            this->harmStore("is silent", length, [](testing::ServiceFaults &faults) {
+                faults.outage = testing::OutageMode::Silent;
+            });
+            return;
+        case FaultKind::StoreIsSlow:
+            this->harmStore("is slow", length, [](testing::ServiceFaults &faults) {
+                faults.delay = 200ms;
+            });
+            return;
+        case FaultKind::StoreLosesWrites:
+            this->harmStore("loses writes", length, [](testing::ServiceFaults &faults) {
+                faults.loseNextWriteAnswers = 3;
+                faults.lateNextWrites = 3;
+            });
+            return;
+        case FaultKind::HistoryIsGone:
+            this->say("history is gone");
+            this->backend.perform([this] {
+                this->backend.rowStore().dropHistory();
+            });
+            return;
+        case FaultKind::StoreLinkIsHarmed: {
+            static constexpr std::array Modes{
+                LinkMode::Delay, LinkMode::Silent, LinkMode::SilentForward, LinkMode::SilentBackward, LinkMode::Reset};
+            const int host = this->anyHost();
+            const auto mode = Modes[this->random() % Modes.size()];
+            this->say("store link of h" + std::to_string(host) + " " + linkModeWord(mode) + " for " + std::to_string(length.count()) + " ms");
+            const auto set = [this, host](LinkMode wanted) {
+                this->backend.perform([this, host, wanted] {
+                    this->fleet.storeLink(host).setMode(wanted);
+                });
+            };
+            set(mode);
+            this->harm(host, length, [set] {
+                set(LinkMode::Pass);
+            });
+            return;
+        }
+        case FaultKind::ServerFails: {
+            static constexpr std::array Faults{ServerFault::Errors,
+                                               ServerFault::Reset,
+                                               ServerFault::Mute,
+                                               ServerFault::CutShort,
+                                               ServerFault::ExtraAnswer,
+                                               ServerFault::Busy,
+                                               ServerFault::Slow};
+            const auto fault = Faults[this->random() % Faults.size()];
+            this->say(std::string("server fault ") + serverFaultWord(fault));
+            this->at(length, this->backend.harmServer(fault, 0.2 + static_cast<double>(this->random() % 9) / 10));
+            return;
+        }
+        case FaultKind::ServerLinkIsHarmed: {
+            static constexpr std::array Modes{
+                LinkMode::Delay, LinkMode::Silent, LinkMode::SilentForward, LinkMode::SilentBackward, LinkMode::Reset};
+            const auto mode = Modes[this->random() % Modes.size()];
+            this->say(std::string("server link ") + linkModeWord(mode));
+            this->harm(-1, length, this->backend.harmLink(mode));
+            return;
+        }
+        case FaultKind::ServerCrashes:
+            this->say("server crashes");
+            this->harm(-1, length, this->backend.crashServer());
+            return;
+        case FaultKind::ServerLeaves:
+            this->say("server leaves");
+            this->at(this->bounds.drain + this->between(500, 3000), this->backend.drainServer());
+            return;
+        case FaultKind::KeyIsWithdrawn:
+            this->say("key is withdrawn");
+            this->backend.withdrawKey();
+            return;
+        case FaultKind::RouteIsMoved:
+            this->say("route is moved");
+            this->backend.moveRoute();
+            return;
+        case FaultKind::DomainIsEvacuated:
+            this->say("domain is evacuated");
+            this->at(this->bounds.evacuation + this->between(1000, 4000), this->backend.evacuateDomain());
+            return;
+        }
+    }
+
+    struct ExpectedEnd
+    {
+        SoakTime at{};
+        bool isPlanned = false;
+    };
+
+    std::mt19937_64 random;
+    BackendWorld backend;
+    GatewayFleet fleet;
+    CallerWorld callerWorld;
+    Bounds bounds;
+    std::multimap<SoakTime, Action> queue;
+    std::vector<Disturbance> disturbances;
+    std::vector<PlannedStop> stops;
+    std::vector<std::string> ownLines;
+    std::array<std::optional<ExpectedEnd>, GatewayFleet::HostCount> expectedEnds;
+    const SoakTime beganAt = steady_clock::now();
+};
+
+/// Seeds that once showed a fault, with its cause.
+struct RegressionSeed
+{
+    std::uint64_t seed;
+    const char *cause;
+};
+
+} // namespace
+
+static void soakWith(std::uint64_t seed)
+{
+    std::cout << "soak seed " << seed << std::endl;
+    const auto lines = SoakRun(seed).run();
+    for (const auto &line : lines) {
+        std::cout << "  broken: " << line << std::endl;
+    }
+    CHECK_MESSAGE(lines.empty(), "seed ", seed, ": ", lines.empty() ? "" : lines.front());
+}
+
+TEST_CASE("the gateway fleet keeps its promises under random faults")
+{
+    const char *const single = std::getenv("RHUBARBTILLER_SEED");
+    const char *const many = std::getenv("RHUBARBTILLER_SOAK_SEEDS");
+    if (single != nullptr) {
+        soakWith(std::stoull(single));
+        return;
+    }
+    if (many != nullptr) {
+        // "FIRST COUNT"
+        const std::string range(many);
+        const auto first = std::stoull(range);
+        const auto count = std::stoull(range.substr(range.find(' ') + 1));
+        for (std::uint64_t seed = first; seed < first + count; ++seed) {
+            soakWith(seed);
+        }
+        return;
+    }
+    soakWith(1);
+}
