Let a host of the first mode live through SIGHUP

The kernel sends SIGHUP and SIGCONT to a process group with a stopped member when the shell above it ends; the hosts were in the group of the test program. Ruled out: load (two runs beside eight busy loops passed). Change: SIGHUP reads the settings again and applies the log level, as gateway hosts do; test processes have groups of their own.

--- a/apps/rhubarbtiller/main.cpp
+++ b/apps/rhubarbtiller/main.cpp
@@ -20,10 +20,36 @@
 
 using namespace rhubarbtiller;
 
+/// Reads the settings again for the log level, the only one that changes while the program runs.
+static void reloadLogLevel()
+{
+    const auto changed = settings::readSettingsFile(FLAGS_settings, settings::parseHostSettings);
+    telemetry::logEvent(telemetry::LogLevel::Info, "reload", {{"settings", FLAGS_settings}, {"valid", changed.has_value()}});
+    if (changed) {
+        telemetry::setLogLevel(telemetry::logLevelByName(changed->logLevel));
+    }
+}
+
+/// Waits for signals: SIGHUP reads the settings again, the others begin a planned stop.
+static void watchSignals(asio::signal_set &signals, host::HostProcess &process)
+{
+    signals.async_wait([&signals, &process](const std::error_code &error, int signal) {
+        if (error) {
+            return;
+        }
+        if (signal == SIGHUP) {
+            reloadLogLevel();
+        } else {
+            process.beginDrain();
+        }
+        watchSignals(signals, process);
+    });
+}
+
 static int runHost(const settings::HostSettings &hostSettings)
 {
     asio::io_context context(static_cast<int>(hostSettings.threads));
-    asio::signal_set signals(context, SIGTERM, SIGINT);
+    asio::signal_set signals(context, SIGTERM, SIGINT, SIGHUP);
     host::HostProcess process(context, hostSettings, [&context] {
         context.stop();
     });
@@ -31,11 +57,7 @@
         telemetry::logEvent(telemetry::LogLevel::Error, "start_failed", {{"error", error.message()}});
         return ExitPorts;
     }
-    signals.async_wait([&process](const std::error_code &error, int) {
-        if (!error) {
-            process.beginDrain();
-        }
-    });
+    watchSignals(signals, process);
     std::vector<std::thread> threads;
     for (std::uint32_t i = 1; i < hostSettings.threads; ++i) {
         threads.emplace_back([&context] {
--- a/tests/fleet/fleet.cpp
+++ b/tests/fleet/fleet.cpp
@@ -134,6 +134,12 @@
     return document.dump();
 }
 
+std::string Fleet::logOf(int number) const
+{
+    const std::lock_guard lock(this->mutex);
+    return readFile(this->hosts.at(number).log);
+}
+
 HostId Fleet::hostId(int number)
 {
     return HostId("h" + std::to_string(number));
@@ -161,6 +167,7 @@
     static std::atomic<int> starts{0};
     const auto log = this->folder / (id + "-" + std::to_string(++starts) + ".log");
     RunningHost next;
+    next.log = log;
     next.process
         = std::make_unique<Process>(std::vector<std::string>{HOST_PROGRAM, "--settings=" + (this->folder / (id + ".json")).string()},
                                     this->folder / (id + ".out"),
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -85,6 +85,10 @@
     void startHost(int number);
     Process &host(int number);
     bool isServing(int number);
+
+    /// Returns what a host has logged since its last start. Thread safety: any thread.
+    std::string logOf(int number) const;
+
     static HostId hostId(int number);
     static FailureDomainId hostDomain(int number);
 
@@ -120,6 +124,7 @@
         std::unique_ptr<Process> process;
         std::string callerAddress;
         std::string operatorAddress;
+        std::filesystem::path log;
     };
 
     std::string waitForField(Process &process, const std::filesystem::path &file, const std::string &field);
--- a/tests/fleet/process.cpp
+++ b/tests/fleet/process.cpp
@@ -24,7 +24,13 @@
     static constexpr int Flags = O_WRONLY | O_CREAT | O_APPEND;
     posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, outputFile.c_str(), Flags, 0600);
     posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, errorFile.c_str(), Flags, 0600);
-    const int error = posix_spawn(&this->id, command.front().c_str(), &actions, nullptr, arguments.data(), environ);
+    // In a group of its own, so that the end of a shell above does not send SIGHUP and SIGCONT to a stopped process.
+    posix_spawnattr_t attributes;
+    posix_spawnattr_init(&attributes);
+    posix_spawnattr_setflags(&attributes, POSIX_SPAWN_SETPGROUP);
+    posix_spawnattr_setpgroup(&attributes, 0);
+    const int error = posix_spawn(&this->id, command.front().c_str(), &actions, &attributes, arguments.data(), environ);
+    posix_spawnattr_destroy(&attributes);
     posix_spawn_file_actions_destroy(&actions);
     if (error != 0) {
         throw std::system_error(error, std::generic_category(), command.front());
