Report to other failure domains what they use

Change: evidence of success and loads go to the own domain, to the domain of the server, and to domains that use these servers now; failures and full servers to all. Counts that did not change are repeated every 400 ms. Admissions go out every 300 ms or when urgent. Beats to other domains name the addresses once in four. A host that lags gets the removed keys in place of all keys, and entries of servers are decoded once for each version of their row. Ruled out: slower beats to other domains, which would let both sides of a cut keep their share of a rate for longer.

--- a/packages/balance/include/rhubarbtiller/balance/hostdirectory.h
+++ b/packages/balance/include/rhubarbtiller/balance/hostdirectory.h
@@ -46,6 +46,9 @@
     /// Takes what a host said of itself, directly. Precondition: \p now does not go back.
     void onBeat(const HostRecord &record, MonotonicTime now);
 
+    /// Returns the record of a host that was heard in this incarnation, or nullptr. Precondition: none.
+    const HostRecord *findHeard(const HostId &id, Incarnation incarnation) const;
+
     /// Notes a host that another source named; it counts as living only once it is heard.
     ///
     /// Precondition: \p now does not go back.
--- a/packages/balance/include/rhubarbtiller/balance/scoreboard.h
+++ b/packages/balance/include/rhubarbtiller/balance/scoreboard.h
@@ -40,6 +40,8 @@
     /// Requests that this host may send while the server is cold.
     TokenBucket coldBucket;
     bool hasColdBucket = false;
+    FailureDomainId failureDomain;
+    SlotCount slots{1};
 
     /// Returns the requests that other hosts have there. Precondition: none.
     std::uint32_t remoteOutstanding(MonotonicTime now) const;
@@ -99,8 +101,11 @@
         return this->isUrgent;
     }
 
-    /// Returns the servers that have requests of this host, or had some at the last call. Precondition: none.
-    std::vector<OutstandingReport> takeOutstanding();
+    /// Returns what has changed of this host's requests at servers since the last report to a failure domain.
+    ///
+    /// With \p hearsAll it is told of all servers, else of its own and of full ones. Counts are repeated before they lapse.
+    /// Precondition: \p now does not go back.
+    std::vector<OutstandingReport> takeOutstanding(const FailureDomainId &audience, bool hearsAll, MonotonicTime now);
 
     /// Forgets servers that are not in the table. Precondition: none.
     void retain(const catalog::ServerTable &table);
@@ -108,7 +113,14 @@
 private:
     std::unordered_map<BackendServerId, ServerState> servers;
     std::vector<EvidenceReport> unreported;
-    std::unordered_map<BackendServerId, std::uint32_t> reportedOutstanding;
+    struct Reported
+    {
+        std::uint32_t requests = 0;
+        MonotonicTime repeatAt{};
+    };
+
+    /// What each failure domain was told last.
+    std::map<FailureDomainId, std::unordered_map<BackendServerId, Reported>> reported;
     bool isUrgent = false;
 };
 
--- a/packages/balance/lib/hostdirectory.cpp
+++ b/packages/balance/lib/hostdirectory.cpp
@@ -39,6 +39,13 @@
     known.isHeard = true;
 }
 
+const HostRecord *HostDirectory::findHeard(const HostId &id, Incarnation incarnation) const
+{
+    const auto found = this->hosts.find(id);
+    const bool isKnown = found != this->hosts.end() && found->second.isHeard && found->second.record.incarnation == incarnation;
+    return isKnown ? &found->second.record : nullptr;
+}
+
 void HostDirectory::onMentioned(const HostRecord &record, MonotonicTime now)
 {
     if (record.id == this->self.id) {
--- a/packages/gateway/fleet.thrift
+++ b/packages/gateway/fleet.thrift
@@ -24,6 +24,19 @@
     14: i32 milliCores
 }
 
+// What changes of a host between two beats; its addresses are known from a beat of the same incarnation.
+struct HostBrief {
+    1: string host
+    2: i64 incarnation
+    3: bool isLeaving
+    4: bool isServing
+    5: bool isEntry
+    6: i32 beatIntervalMs
+    7: i64 configurationVersion
+    8: i64 serversVersion
+    9: i32 storeContactAgeMs
+}
+
 struct ServerEvidence {
     1: string server
     2: i8 evidence
@@ -40,7 +53,7 @@
 }
 
 struct Datagram {
-    1: HostBeat sender
+    1: optional HostBeat sender
     // Hosts that the receiver may not know.
     2: optional list<HostBeat> mentioned
     3: optional list<ServerEvidence> evidence
@@ -48,6 +61,8 @@
     5: optional list<Admissions> admissions
     // Asks the receiver to name the hosts that it knows.
     6: optional bool wantsMentions
+    // Stands for the sender's beat in datagrams that are sent often.
+    7: optional HostBrief brief
 }
 
 // One row of a table of the store.
@@ -64,6 +79,8 @@
     1: i64 version
     // Rows that are newer than what the peer holds.
     2: list<ReplicaRow> rows
-    // All keys of the table; others were removed.
-    3: list<string> keys
+    // All keys of the table, others were removed; set if the sender does not know which were removed since.
+    3: optional list<string> keys
+    // The keys that were removed since the version that the peer holds; the rows are newer.
+    4: optional list<string> removed
 }
--- a/packages/gateway/lib/statesync.cpp
+++ b/packages/gateway/lib/statesync.cpp
@@ -291,10 +291,18 @@
 std::shared_ptr<const catalog::ServerTable> StateSync::buildServers(MonotonicTime now)
 {
     std::vector<catalog::ServerEntry> entries;
-    for (const auto &[key, row] : this->servers.replica.rows()) {
+    const auto &rows = this->servers.replica.rows();
+    std::erase_if(this->decodedServers, [&rows](const auto &decoded) {
+        return !rows.contains(decoded.first);
+    });
+    for (const auto &[key, row] : rows) {
         this->lapsedServers.erase(key);
-        if (auto entry = this->parts.decoder.server(key, row)) {
-            entries.push_back(std::move(*entry));
+        auto &decoded = this->decodedServers[key];
+        if (decoded.version != row.version) {
+            decoded = {row.version, this->parts.decoder.server(key, row)};
+        }
+        if (decoded.entry) {
+            entries.push_back(*decoded.entry);
         } else if (this->reportedRows.size() < MaxReportedRows && this->reportedRows.insert(key).second) {
             logEvent(LogLevel::Warning, "server_entry_unreadable", {{"key", key}, {"version", row.version}});
         }
--- a/packages/gateway/lib/statesync.h
+++ b/packages/gateway/lib/statesync.h
@@ -86,6 +86,13 @@
         unsigned failures = 0;
     };
 
+    /// An entry as it was decoded from one version of its row; none if it names no server.
+    struct DecodedEntry
+    {
+        std::uint64_t version = 0;
+        std::optional<catalog::ServerEntry> entry;
+    };
+
     struct FreshPeer
     {
         PeerStanding standing;
@@ -112,6 +119,7 @@
     std::map<HostId, FreshPeer> peersInDomain;
     std::shared_ptr<const catalog::Catalog> catalog;
     std::shared_ptr<const catalog::ServerTable> lastServers;
+    std::map<std::string, DecodedEntry> decodedServers;
     /// Entries that lapsed while the store was away, with the time until which their servers may still be used.
     std::map<std::string, std::pair<HeldRow, MonotonicTime>> lapsedServers;
     MonotonicTime storeAwaySince{};
--- a/packages/gateway/lib/tablereplica.cpp
+++ b/packages/gateway/lib/tablereplica.cpp
@@ -5,6 +5,25 @@
 
 namespace rhubarbtiller::gateway {
 
+/// Removals that are kept; more than the servers that a fleet loses within the time that a peer may lag.
+static constexpr std::size_t MaxRemovals = 1000;
+
+/// Notes that the copy changed, with the rows that were removed in this call.
+void TableReplica::changed(std::uint64_t version)
+{
+    if (this->changedAtVersion == 0) {
+        this->removalsAfter = version;
+    }
+    this->changedAtVersion = version;
+    for (const auto &[key, row] : this->removed) {
+        this->removals.push_back({version, key});
+    }
+    while (this->removals.size() > MaxRemovals) {
+        this->removalsAfter = this->removals.front().version;
+        this->removals.pop_front();
+    }
+}
+
 bool TableReplica::put(const std::string &key, std::string value, std::uint64_t version, MonotonicTime receivedAt)
 {
     auto &row = this->held[key];
@@ -55,7 +74,7 @@
     hasChanged = this->dropAllBut(keys) || hasChanged;
     this->followedTo = batch.version;
     if (hasChanged) {
-        this->changedAtVersion = batch.version;
+        this->changed(batch.version);
     }
     return hasChanged;
 }
@@ -75,7 +94,7 @@
     }
     this->followedTo = std::max(this->followedTo, batch.version);
     if (hasChanged) {
-        this->changedAtVersion = this->followedTo;
+        this->changed(this->followedTo);
     }
     return hasChanged;
 }
@@ -88,14 +107,18 @@
         return false;
     }
     bool hasChanged = false;
+    for (const auto &key : answer.removed) {
+        hasChanged = this->drop(key) || hasChanged;
+    }
     for (const auto &row : answer.rows) {
         const auto receivedAt = now - std::chrono::milliseconds(row.ageMs);
         hasChanged = this->put(row.key, row.value, static_cast<std::uint64_t>(row.version), receivedAt) || hasChanged;
     }
-    const std::set<std::string> keys(answer.keys.begin(), answer.keys.end());
-    hasChanged = this->dropAllBut(keys) || hasChanged;
+    if (answer.__isset.keys) {
+        hasChanged = this->dropAllBut({answer.keys.begin(), answer.keys.end()}) || hasChanged;
+    }
     this->followedTo = version;
-    this->changedAtVersion = version;
+    this->changed(version);
     return hasChanged;
 }
 
@@ -103,8 +126,18 @@
 {
     wire::ReplicaAnswer answer;
     answer.version = static_cast<std::int64_t>(this->changedAtVersion);
+    const bool knowsRemovals = after >= this->removalsAfter && after > 0;
+    answer.__isset.keys = !knowsRemovals;
+    answer.__isset.removed = knowsRemovals;
+    for (const auto &removal : this->removals) {
+        if (knowsRemovals && removal.version > after) {
+            answer.removed.push_back(removal.key);
+        }
+    }
     for (const auto &[key, row] : this->held) {
-        answer.keys.push_back(key);
+        if (!knowsRemovals) {
+            answer.keys.push_back(key);
+        }
         if (row.version <= after) {
             continue;
         }
--- a/packages/gateway/lib/tablereplica.h
+++ b/packages/gateway/lib/tablereplica.h
@@ -4,6 +4,8 @@
 
 #include <fleet_types.h>
 
+#include <deque>
+
 namespace rhubarbtiller::gateway {
 
 /// A host's copy of one table of the store, from the store itself or from a peer that is ahead.
@@ -50,12 +52,23 @@
     }
 
 private:
+    struct Removal
+    {
+        std::uint64_t version = 0;
+        std::string key;
+    };
+
+    void changed(std::uint64_t version);
     bool put(const std::string &key, std::string value, std::uint64_t version, MonotonicTime receivedAt);
     bool drop(const std::string &key);
     bool dropAllBut(const std::set<std::string> &keys);
 
     HeldRows held;
     HeldRows removed;
+    /// What was removed lately, oldest first, for peers that lag a little.
+    std::deque<Removal> removals;
+    /// Removals up to this version are not among them.
+    std::uint64_t removalsAfter = 0;
     std::uint64_t changedAtVersion = 0;
     std::uint64_t followedTo = 0;
 };
--- /dev/null
+++ b/packages/gateway/unittests/peerreportstest.cpp
@@ -0,0 +1,154 @@
+#include "peerreports.h"
+
+#include <rhubarbtiller/testing/virtualclock.h>
+
+#include <doctest/doctest.h>
+
+using namespace rhubarbtiller;
+using namespace rhubarbtiller::gateway;
+using namespace std::chrono_literals;
+using balance::Evidence;
+
+static const FailureDomainId Own("a");
+static const FailureDomainId Other("b");
+
+namespace {
+
+/// Two servers of the own failure domain and one of another one, with two slots each.
+class ReportFixture
+{
+public:
+    ReportFixture()
+    {
+        std::vector<catalog::ServerEntry> entries;
+        for (const auto &[id, domain] : {std::pair("s1", Own), std::pair("s2", Own), std::pair("s3", Other)}) {
+            catalog::ServerEntry entry;
+            entry.id = BackendServerId(id);
+            entry.failureDomain = domain;
+            entry.slots = SlotCount(2);
+            entries.push_back(entry);
+        }
+        this->board.retain(catalog::ServerTable(entries));
+        this->clock.advance(1h);
+    }
+
+    void send(const char *server)
+    {
+        this->board.onSent(BackendServerId(server), this->clock.now());
+    }
+
+    void finish(const char *server)
+    {
+        this->board.onFinished(BackendServerId(server));
+    }
+
+    testing::VirtualClock clock;
+    balance::Scoreboard board;
+    balance::OrganisationQuota quota{5s};
+    PeerReports reports{this->board, this->quota, Own};
+};
+
+} // namespace
+
+static std::vector<std::string> serversIn(const std::optional<wire::Datagram> &datagram)
+{
+    std::vector<std::string> servers;
+    if (datagram) {
+        for (const auto &load : datagram->loads) {
+            servers.push_back(load.server + "=" + std::to_string(load.outstanding));
+        }
+        for (const auto &entry : datagram->evidence) {
+            servers.push_back(entry.server + ":" + std::string(balance::evidenceWord(static_cast<Evidence>(entry.evidence))));
+        }
+    }
+    std::sort(servers.begin(), servers.end());
+    return servers;
+}
+
+using Texts = std::vector<std::string>;
+
+TEST_CASE("other failure domains hear of failures, of their servers and of full ones")
+{
+    ReportFixture fixture;
+    fixture.send("s1");
+    fixture.send("s2");
+    fixture.send("s2");
+    fixture.send("s3");
+    const auto now = fixture.clock.now();
+    fixture.board.observe(BackendServerId("s1"), Evidence::Success, now);
+    fixture.board.observe(BackendServerId("s2"), Evidence::BrokenAnswer, now);
+    fixture.board.observe(BackendServerId("s3"), Evidence::Success, now);
+    fixture.reports.collect(now);
+    CHECK(serversIn(fixture.reports.compose(Own, now)) == Texts{"s1:success", "s1=1", "s2:broken_answer", "s2=2", "s3:success", "s3=1"});
+    CHECK(serversIn(fixture.reports.compose(Other, now)) == Texts{"s2:broken_answer", "s2=2", "s3:success", "s3=1"});
+}
+
+TEST_CASE("a failure domain that uses servers of this one hears everything for a while")
+{
+    ReportFixture fixture;
+    fixture.reports.onLoads(Other, {{BackendServerId("s1"), 1}}, fixture.clock.now());
+    fixture.send("s2");
+    fixture.board.observe(BackendServerId("s2"), Evidence::Success, fixture.clock.now());
+    fixture.reports.collect(fixture.clock.now());
+    CHECK(serversIn(fixture.reports.compose(Other, fixture.clock.now())) == Texts{"s2:success", "s2=1"});
+    fixture.clock.advance(3s);
+    // Its requests to its own servers do not concern this domain.
+    fixture.reports.onLoads(Other, {{BackendServerId("s3"), 1}}, fixture.clock.now());
+    fixture.reports.collect(fixture.clock.now());
+    CHECK(serversIn(fixture.reports.compose(Other, fixture.clock.now())) == Texts{"s2=0"});
+}
+
+TEST_CASE("a server that is full over all hosts is reported, and again when it has room")
+{
+    ReportFixture fixture;
+    fixture.send("s1");
+    const auto now = fixture.clock.now();
+    fixture.reports.collect(now);
+    CHECK_FALSE(fixture.reports.compose(Other, now));
+    fixture.board.onRemote(HostId("peer"), {}, {{BackendServerId("s1"), 1}}, now);
+    fixture.reports.collect(now);
+    CHECK(serversIn(fixture.reports.compose(Other, now)) == Texts{"s1=1"});
+    fixture.board.onRemote(HostId("peer"), {}, {{BackendServerId("s1"), 0}}, now);
+    fixture.reports.collect(now);
+    CHECK(serversIn(fixture.reports.compose(Other, now)) == Texts{"s1=0"});
+}
+
+TEST_CASE("what did not change is repeated only before it lapses at the receiver")
+{
+    ReportFixture fixture;
+    fixture.send("s1");
+    fixture.reports.collect(fixture.clock.now());
+    CHECK(fixture.reports.compose(Own, fixture.clock.now()));
+    fixture.clock.advance(150ms);
+    fixture.reports.collect(fixture.clock.now());
+    CHECK_FALSE(fixture.reports.compose(Own, fixture.clock.now()));
+    fixture.clock.advance(300ms);
+    fixture.reports.collect(fixture.clock.now());
+    CHECK(serversIn(fixture.reports.compose(Own, fixture.clock.now())) == Texts{"s1=1"});
+    fixture.finish("s1");
+    fixture.reports.collect(fixture.clock.now());
+    CHECK(serversIn(fixture.reports.compose(Own, fixture.clock.now())) == Texts{"s1=0"});
+}
+
+TEST_CASE("admissions keep their interval unless an organisation is close to its limit")
+{
+    ReportFixture fixture;
+    catalog::CatalogParts parts;
+    parts.organisations.push_back({OrganisationId("org"), {}, RequestRate(10), RequestCount(0)});
+    fixture.quota.configure(catalog::Catalog(std::move(parts)), fixture.clock.now() - 1h);
+    const auto admitsAndReports = [&fixture](int admissions) {
+        for (int i = 0; i < admissions; ++i) {
+            fixture.quota.admit(OrganisationId("org"), fixture.clock.now());
+        }
+        fixture.reports.collect(fixture.clock.now());
+        const auto datagram = fixture.reports.compose(Other, fixture.clock.now());
+        return datagram && datagram->__isset.admissions;
+    };
+    CHECK(admitsAndReports(1));
+    fixture.clock.advance(100ms);
+    CHECK_FALSE(admitsAndReports(1));
+    fixture.clock.advance(250ms);
+    CHECK(admitsAndReports(1));
+    fixture.clock.advance(50ms);
+    CHECK(admitsAndReports(40));
+}
--- a/packages/gateway/unittests/statesynctest.cpp
+++ b/packages/gateway/unittests/statesynctest.cpp
@@ -153,7 +153,7 @@
     fixture.sync.setRank(1);
     wire::ReplicaAnswer answer;
     answer.version = 20;
-    answer.keys = {"s2"};
+    answer.__set_keys({"s2"});
     fixture.peerAnswer = encodeThrift(answer);
     fixture.sync.onPeer(fixture.peer(10, 20, 10ms));
     fixture.tick();
@@ -172,7 +172,7 @@
     CHECK(fixture.source.calls.empty());
     wire::ReplicaAnswer answer;
     answer.version = 15;
-    answer.keys = {"s1", "s9"};
+    answer.__set_keys({"s1", "s9"});
     wire::ReplicaRow row;
     row.key = "s9";
     row.value = "ready";
--- a/packages/gateway/unittests/tablereplicatest.cpp
+++ b/packages/gateway/unittests/tablereplicatest.cpp
@@ -91,3 +91,58 @@
     CHECK_FALSE(ahead.adopt(behind.answer(0, clock.now()), clock.now()));
     CHECK(ahead.rows().at("a").value == "2");
 }
+
+TEST_CASE("a peer that lags a little gets the removed keys, another one all keys")
+{
+    testing::VirtualClock clock;
+    TableReplica leader;
+    leader.replace(batch(5, {{"a", "1", 3, false}, {"b", "1", 4, false}, {"c", "1", 5, false}}), clock.now());
+    TableReplica peer;
+    peer.adopt(leader.answer(0, clock.now()), clock.now());
+    CHECK(peer.rows().size() == 3);
+    leader.apply(batch(7, {{"b", "", 7, true}}), clock.now());
+    leader.apply(batch(8, {{"d", "1", 8, false}}), clock.now());
+    const auto answer = leader.answer(peer.version(), clock.now());
+    CHECK_FALSE(answer.__isset.keys);
+    CHECK(answer.removed == std::vector<std::string>{"b"});
+    CHECK(answer.rows.size() == 1);
+    CHECK(peer.adopt(answer, clock.now()));
+    CHECK(peer.rows().size() == 3);
+    CHECK_FALSE(peer.rows().contains("b"));
+    CHECK(peer.removedRows().contains("b"));
+    // Before its first read the leader does not know what was removed.
+    CHECK(leader.answer(4, clock.now()).__isset.keys);
+}
+
+TEST_CASE("a key that was removed and written again stays")
+{
+    testing::VirtualClock clock;
+    TableReplica leader;
+    leader.replace(batch(5, {{"a", "1", 3, false}}), clock.now());
+    TableReplica peer;
+    peer.adopt(leader.answer(0, clock.now()), clock.now());
+    leader.apply(batch(6, {{"a", "", 6, true}}), clock.now());
+    leader.apply(batch(7, {{"a", "2", 7, false}}), clock.now());
+    CHECK(peer.adopt(leader.answer(peer.version(), clock.now()), clock.now()));
+    CHECK(peer.rows().at("a").value == "2");
+}
+
+TEST_CASE("with more removals than are kept a peer gets all keys")
+{
+    testing::VirtualClock clock;
+    TableReplica leader;
+    std::vector<SourceRow> rows;
+    for (int i = 0; i < 1500; ++i) {
+        rows.push_back({"k" + std::to_string(i), "1", 1, false});
+    }
+    leader.replace(batch(5, rows), clock.now());
+    TableReplica peer;
+    peer.adopt(leader.answer(0, clock.now()), clock.now());
+    for (int i = 0; i < 1200; ++i) {
+        leader.apply(batch(static_cast<std::uint64_t>(10 + i), {{"k" + std::to_string(i), "", static_cast<std::uint64_t>(10 + i), true}}),
+                     clock.now());
+    }
+    CHECK(leader.answer(peer.version(), clock.now()).__isset.keys);
+    CHECK(peer.adopt(leader.answer(peer.version(), clock.now()), clock.now()));
+    CHECK(peer.rows().size() == 300);
+}
