Let a starting host wait for those of the list that go before it

Ruled out: the volume of table reads at the start (1.6 MB and 7 calls a host at 3,000 servers: about 2 s on the smallest hosts). A failed registration reads the list all the same and is repeated at random times, since one part of the store takes 200 writes a second.

--- a/packages/gateway/lib/gatewayprocess.cpp
+++ b/packages/gateway/lib/gatewayprocess.cpp
@@ -41,7 +41,7 @@
 static constexpr milliseconds BusyPumpInterval{20};
 static constexpr milliseconds IdlePumpInterval{100};
 
-/// Attempts to write the address of this host to the store.
+/// Least pause between attempts to write the address of this host to the store, at most twice as long.
 static constexpr milliseconds RegisterRetryPause{1000};
 
 namespace {
@@ -174,6 +174,8 @@
     asio::steady_timer registerTimer;
     MonotonicTime stopBeganAt{};
     std::atomic<bool> isStopping{false};
+    /// Whether the list was read although this host does not stand in it yet.
+    bool hasReadHosts = false;
     std::atomic<bool> hasState{false};
 };
 
@@ -203,7 +205,7 @@
     , spans(settings.spanOutput.empty() ? nullptr : telemetry::makeJsonLinesExporter(settings.spanOutput))
     , storeClient(http::makeCurlHttpClient(controlContext, clock))
     , platform(factory(settings, *storeClient, clock))
-    , directory(ownRecord(settings, clock), settings.entryHostsPerDomain)
+    , directory(ownRecord(settings, clock), settings.entryHostsPerDomain, false)
     , quota(settings.quotaWindow)
     , retries(settings.retryBudget)
     , backend(makeBackendClient(servingContext, clock, *platform.dialect))
@@ -331,7 +333,11 @@
     this->platform.source->write(SourceTable::Hosts, this->settings.callerAddress.text(), encodeThrift(beat), [this](Status error) {
         if (error) {
             logEvent(LogLevel::Warning, "registration_failed", {{"error", error.message()}});
-            this->registerTimer.expires_after(RegisterRetryPause);
+            // Others may stand in the list already.
+            if (!std::exchange(this->hasReadHosts, true)) {
+                this->readHosts();
+            }
+            this->registerTimer.expires_after(RegisterRetryPause + milliseconds(this->random.below(RegisterRetryPause.count())));
             this->registerTimer.async_wait([this](std::error_code cancelled) {
                 if (!cancelled) {
                     this->registerHost();
@@ -361,8 +367,9 @@
         }
         asio::post(this->serving, [this, records = std::move(records)] {
             for (const auto &record : records) {
-                this->directory.onMentioned(record, this->clock.now());
+                this->directory.onListed(record, this->clock.now());
             }
+            this->directory.setOthersKnown();
             this->link.announce();
         });
     });
