--- a/packages/gateway/lib/statesync.cpp
+++ b/packages/gateway/lib/statesync.cpp
@@ -366,6 +366,19 @@
               {"removed", joined(removed)}});
 }
 
+void StateSync::logEvacuations(const std::set<FailureDomainId> &next)
+{
+    if (next == this->loggedEvacuations) {
+        return;
+    }
+    std::vector<std::string> names;
+    for (const auto &domain : next) {
+        names.push_back(domain.text());
+    }
+    logEvent(LogLevel::Info, "evacuations_changed", {{"store_version", this->configuration.replica.version()}, {"evacuated", joined(names)}});
+    this->loggedEvacuations = next;
+}
+
 void StateSync::publish()
 {
     const auto now = this->parts.clock.now();
@@ -375,6 +388,7 @@
     this->logServerChanges(*state->servers);
     this->lastServers = state->servers;
     state->evacuatedDomains = this->parts.decoder.evacuatedDomains(this->configuration.replica.rows());
+    this->logEvacuations(state->evacuatedDomains);
     state->changedAt = now;
     this->parts.published.publish(std::move(state));
     this->parts.whenPublished();
--- a/packages/gateway/lib/statesync.h
+++ b/packages/gateway/lib/statesync.h
@@ -110,6 +110,7 @@
     void keepLapsedServers(const HeldRows &removed, MonotonicTime now);
     void publish();
     std::shared_ptr<const catalog::ServerTable> buildServers(MonotonicTime now);
+    void logEvacuations(const std::set<FailureDomainId> &next);
     void logServerChanges(const catalog::ServerTable &next);
 
     Parts parts;
@@ -120,6 +121,7 @@
     std::shared_ptr<const catalog::Catalog> catalog;
     std::shared_ptr<const catalog::ServerTable> lastServers;
     std::map<std::string, DecodedEntry> decodedServers;
+    std::set<FailureDomainId> loggedEvacuations;
     /// Entries that lapsed while the store was away, with the time until which their servers may still be used.
     std::map<std::string, std::pair<HeldRow, MonotonicTime>> lapsedServers;
     MonotonicTime storeAwaySince{};
--- a/tests/soak/backendworld.cpp
+++ b/tests/soak/backendworld.cpp
@@ -298,12 +298,20 @@
     this->perform([&] {
         const auto &domains = GatewayFleet::failureDomains();
         domain = domains[this->random() % domains.size()];
+        if (!this->evacuated.insert(domain).second) {
+            domain.clear();
+            return;
+        }
         this->store->put("op", "evacuate/" + domain, "{}");
         change = this->changes.size();
         this->changes.push_back({AcknowledgedChange::Kind::DomainEvacuated, domain, "", steady_clock::now(), SoakTime::max()});
     });
     return [this, change, domain] {
+        if (domain.empty()) {
+            return;
+        }
         this->perform([&] {
+            this->evacuated.erase(domain);
             this->changes[change].until = steady_clock::now();
             this->store->remove("op", "evacuate/" + domain);
         });
@@ -312,12 +320,10 @@
 
 void BackendWorld::finish(SoakHistory &history)
 {
+    // The servers go after their thread, since connections are still accepted.
     this->perform([&] {
-        history.arrivals = std::move(this->arrivals);
+        history.arrivals = this->arrivals;
         history.changes = this->changes;
-        this->ended.clear();
-        this->servers.clear();
-        this->store.reset();
     });
     history.rates = rates();
     history.coldRate = ColdRate;
--- a/tests/soak/backendworld.h
+++ b/tests/soak/backendworld.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <memory>
 #include <random>
+#include <set>
 #include <thread>
 #include <vector>
 
@@ -67,10 +68,10 @@
     /// Moves the route that is moved from one service to the other. Precondition: none.
     void moveRoute();
 
-    /// Evacuates a random failure domain until the returned action runs. Precondition: none.
+    /// Evacuates a random failure domain, unless it is evacuated already, until the returned action runs. Precondition: none.
     std::function<void()> evacuateDomain();
 
-    /// Ends the stand-ins and hands over what they recorded. Precondition: called once, after the hosts have ended.
+    /// Hands over what the stand-ins recorded. Precondition: called once.
     void finish(SoakHistory &history);
 
 private:
@@ -101,6 +102,7 @@
     std::uint64_t nextServer = 1;
     std::vector<std::string> withdrawableKeys;
     std::string movedTo;
+    std::set<std::string> evacuated;
 };
 
 } // namespace rhubarbtiller::soak
--- a/tests/soak/faultproxy.cpp
+++ b/tests/soak/faultproxy.cpp
@@ -182,8 +182,8 @@
 
 void FaultProxy::accept()
 {
-    this->acceptor.async_accept([this](std::error_code error, tcp::socket socket) {
-        if (error == asio::error::operation_aborted) {
+    this->acceptor.async_accept([this, weak = std::weak_ptr(this->lifetime)](std::error_code error, tcp::socket socket) {
+        if (weak.expired() || error == asio::error::operation_aborted) {
             return;
         }
         if (!error && this->state->mode == LinkMode::Reset) {
--- a/tests/soak/faultproxy.h
+++ b/tests/soak/faultproxy.h
@@ -54,6 +54,8 @@
     void accept();
 
     std::shared_ptr<State> state;
+    /// Expires with the proxy, for an accepted connection whose handler is still due.
+    std::shared_ptr<bool> lifetime = std::make_shared<bool>(true);
     asio::ip::tcp::acceptor acceptor;
 };
 
