Look after the floor of the own domain only, and start small fleets at once

So: without reports on far servers all of these looked unused to the floor; a floor for services with repeatable requests only sends work to failing servers; and a host that became an entry host after its first configuration assumed once more that all rates were used up. Change: the floor counts servers of the own domain and only for services without repeatable requests; with at most 400 servers all domains hear everything; a host waits for one of eight listed hosts; what a starting host assumes is not renewed in its first second.

--- a/packages/balance/include/rhubarbtiller/balance/placement.h
+++ b/packages/balance/include/rhubarbtiller/balance/placement.h
@@ -22,7 +22,8 @@
     unsigned entryHostsInDomain = 1;
     /// Whether callers are sent to this host; others leave cold servers alone.
     bool isEntryHost = true;
-    /// The share of the servers that get requests at least, 0 to 1; above 0 while the service fails its callers.
+    /// The share of the servers of this failure domain that get requests at least, 0 to 1; above 0 while the service fails its
+    /// callers.
     double usedServersFloor = 0;
 };
 
--- a/packages/balance/include/rhubarbtiller/balance/scoreboard.h
+++ b/packages/balance/include/rhubarbtiller/balance/scoreboard.h
@@ -68,6 +68,12 @@
     /// Returns the state of a server, made when it is first asked for. Precondition: none.
     ServerState &state(const BackendServerId &server);
 
+    /// Returns how many servers are known. Precondition: none.
+    std::size_t size() const
+    {
+        return this->servers.size();
+    }
+
     /// Returns the state of a server, or nullptr if none is held. Precondition: none.
     const ServerState *find(const BackendServerId &server) const;
 
--- a/packages/balance/include/rhubarbtiller/balance/serviceoutcomes.h
+++ b/packages/balance/include/rhubarbtiller/balance/serviceoutcomes.h
@@ -14,12 +14,13 @@
 {
 public:
     /// Notes the end of a request that a caller still waited for. Precondition: \p now does not go back.
-    void note(const catalog::ServiceName &service, bool isServed, MonotonicTime now);
+    void note(const catalog::ServiceName &service, bool isServed, bool isRepeatable, MonotonicTime now);
 
     /// Returns whether so many requests end without an answer of a server that all servers have to be tried.
     ///
+    /// Requests that can be repeated try all servers anyway; a service that has some never needs it.
     /// Precondition: \p now does not go back.
-    bool isFailing(const catalog::ServiceName &service, MonotonicTime now) const;
+    bool needsTrials(const catalog::ServiceName &service, MonotonicTime now) const;
 
 private:
     static constexpr std::size_t SliceCount = 8;
@@ -29,6 +30,7 @@
         std::int64_t number = -1;
         std::uint32_t served = 0;
         std::uint32_t unserved = 0;
+        std::uint32_t repeatable = 0;
     };
 
     std::unordered_map<catalog::ServiceName, std::array<Slice, SliceCount>> services;
--- a/packages/balance/lib/hostdirectory.cpp
+++ b/packages/balance/lib/hostdirectory.cpp
@@ -19,7 +19,9 @@
 /// A host of the list that lives is heard within this time, also while a whole fleet starts.
 static constexpr Duration ListedValidity = std::chrono::seconds(3);
 
-/// Hosts of the list that are waited for at most, since many of them may be gone.
+/// Only the beats of many hosts that start at once are too many: one host is waited for of so many in the list, and at most
+/// so many, since they may be gone.
+static constexpr std::size_t ListedHostsPerWait = 8;
 static constexpr std::size_t MaxAwaitedHosts = 4;
 
 /// A host that cannot read the list becomes an entry host after this time.
@@ -142,7 +144,7 @@
         return !known.isHeard && now < known.listedUntil && known.record.failureDomain == this->self.failureDomain
             && goesBefore(known.record, this->self);
     });
-    return std::min(static_cast<std::size_t>(count), MaxAwaitedHosts);
+    return std::min(static_cast<std::size_t>(count) / ListedHostsPerWait, MaxAwaitedHosts);
 }
 
 void HostDirectory::updateClaim(MonotonicTime now)
--- a/packages/balance/lib/placement.cpp
+++ b/packages/balance/lib/placement.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <cmath>
 #include <limits>
 #include <optional>
 
@@ -38,6 +39,9 @@
 /// A server without a request for this long counts as unused; shorter than the 2 s over which the platform judges the floor.
 static constexpr Duration UnusedAfter = std::chrono::milliseconds(1200);
 
+/// With fewer servers in a failure domain, the floor is rounded down.
+static constexpr unsigned LeastServersForFloor = 4;
+
 /// A server that fails more often than this adds no capacity.
 static constexpr double UsableFailureProbability = 0.5;
 
@@ -84,7 +88,9 @@
 
 namespace {
 
-/// Counts which servers of a service get requests, and finds the one to use next if too few do.
+/// Counts which servers of a service in the own failure domain get requests, and finds the one to use next if too few do.
+///
+/// The hosts of each domain look after its servers; those of others are not known to be used.
 class FloorCount
 {
 public:
@@ -111,7 +117,9 @@
     /// Returns the most reliable unused server if the used ones are below the floor.
     std::optional<Placement> missing(double floor) const
     {
-        const bool isBelow = this->used < floor * this->usable;
+        // Of two or three servers, a failing one is left alone.
+        const double least = this->usable < LeastServersForFloor ? std::floor(floor * this->usable) : floor * this->usable;
+        const bool isBelow = this->used < least;
         return isBelow && this->next.server != nullptr ? std::optional(this->next) : std::nullopt;
     }
 
@@ -155,7 +163,9 @@
                 best.failure = PlacementFailure::Saturated;
             }
             hasBetterServer = hasBetterServer || figures.failureProbability < RiskyFailureProbability;
-            floor.addFull();
+            if (server.failureDomain == query.ownDomain) {
+                floor.addFull();
+            }
             continue;
         }
         const bool isOtherDomain = server.failureDomain != query.ownDomain;
@@ -165,7 +175,9 @@
             }
             continue;
         }
-        floor.add(state, figures, now);
+        if (!isOtherDomain) {
+            floor.add(state, figures, now);
+        }
         const double tie = static_cast<double>(random.below(1000)) / 1000 * TieRange;
         if (const double candidate = cost(query, server, state, figures, now) + tie; candidate < bestCost) {
             bestCost = candidate;
--- a/packages/balance/lib/scoreboard.cpp
+++ b/packages/balance/lib/scoreboard.cpp
@@ -123,8 +123,8 @@
         if (state.ownOutstanding == 0 && before == told.end()) {
             continue;
         }
-        const bool isConcerned = hearsAll || state.failureDomain == audience
-            || state.ownOutstanding + state.remoteOutstanding(now) >= state.slots.count();
+        const bool isConcerned
+            = hearsAll || state.failureDomain == audience || state.ownOutstanding + state.remoteOutstanding(now) >= state.slots.count();
         const auto requests = isConcerned ? state.ownOutstanding : 0;
         const bool isNews = requests != (before == told.end() ? 0 : before->second.requests);
         const bool isDue = requests > 0 && before != told.end() && now >= before->second.repeatAt;
--- a/packages/balance/unittests/hostdirectorytest.cpp
+++ b/packages/balance/unittests/hostdirectorytest.cpp
@@ -202,19 +202,32 @@
     HostDirectory directory(record("own", "a", 30), 1, false);
     directory.updateClaim(clock.now());
     CHECK_FALSE(directory.isEntryHost());
-    directory.onListed(record("older", "a", 10), clock.now());
+    for (int i = 0; i < 10; ++i) {
+        directory.onListed(record("older" + std::to_string(i), "a", 10), clock.now());
+    }
     directory.onListed(record("newer", "a", 50), clock.now());
     directory.onListed(record("elsewhere", "b", 10), clock.now());
     directory.setOthersKnown();
     directory.updateClaim(clock.now());
     CHECK_FALSE(directory.isEntryHost());
     clock.advance(100ms);
-    directory.onBeat(entryRecord("older", "a", 40), clock.now());
+    directory.onBeat(entryRecord("older0", "a", 40), clock.now());
     directory.onBeat(entryRecord("newer", "a", 20), clock.now());
     directory.updateClaim(clock.now());
     CHECK_FALSE(directory.isEntryHost());
 }
 
+TEST_CASE("in a small failure domain a host that starts does not wait for others")
+{
+    testing::VirtualClock clock;
+    clock.advance(1h);
+    HostDirectory directory(record("own", "a", 30), 2, false);
+    directory.onListed(record("older", "a", 10), clock.now());
+    directory.setOthersKnown();
+    directory.updateClaim(clock.now());
+    CHECK(directory.isEntryHost());
+}
+
 TEST_CASE("a host that starts among hosts that are gone becomes an entry host within a second")
 {
     testing::VirtualClock clock;
--- a/packages/balance/unittests/placementtest.cpp
+++ b/packages/balance/unittests/placementtest.cpp
@@ -255,6 +255,28 @@
     CHECK(used.size() >= 7);
 }
 
+// Hosts of other failure domains do not report the use of sound servers, so that all of those would look unused.
+TEST_CASE("the floor does not send work to servers of other failure domains")
+{
+    PlacementFixture fixture(12);
+    for (std::size_t i = 3; i < fixture.entries.size(); ++i) {
+        fixture.entries[i].failureDomain = FailureDomainId("b");
+    }
+    fixture.update();
+    fixture.query.usedServersFloor = 0.7;
+    for (int i = 0; i < 40; ++i) {
+        for (int own = 0; own < 3; ++own) {
+            fixture.board.observe(BackendServerId("s" + std::to_string(own)), Evidence::Success, fixture.clock.now());
+        }
+        const auto placement = fixture.choose();
+        REQUIRE(placement.server != nullptr);
+        CHECK(placement.server->failureDomain.text() == "a");
+        fixture.board.onSent(placement.server->id, fixture.clock.now());
+        fixture.board.onFinished(placement.server->id);
+        fixture.clock.advance(80ms);
+    }
+}
+
 TEST_CASE("a server that another host uses counts as used")
 {
     PlacementFixture fixture(2);
--- a/packages/gateway/lib/peerlink.cpp
+++ b/packages/gateway/lib/peerlink.cpp
@@ -50,6 +50,9 @@
 /// Of so many beats to another failure domain, one names the addresses of this host.
 static constexpr unsigned BeatsPerAddress = 4;
 
+/// What a starting host assumes of the rates holds for this long; the hosts admit little in that time.
+static constexpr Duration StartTime = std::chrono::seconds(1);
+
 /// Hosts that one datagram mentions.
 static constexpr std::size_t MaxMentioned = 8;
 
@@ -120,6 +123,7 @@
     if (error) {
         return error;
     }
+    this->startedAt = this->parts.clock.now();
     this->receive();
     this->tick();
     return {};
@@ -254,7 +258,10 @@
     const bool serves = isEntry || now - this->parts.lastServedAt() < ServingMemory;
     if (std::exchange(this->isServing, serves) != serves) {
         this->nextBeatAt = now;
-        this->parts.quota.assumeUnknown(now);
+        // A host that has just started assumes already that the rates were used up.
+        if (now - this->startedAt > StartTime) {
+            this->parts.quota.assumeUnknown(now);
+        }
     }
     this->logEntryHosts(now);
     this->parts.sync.setRank(directory.ownRank(now));
--- a/packages/gateway/lib/peerlink.h
+++ b/packages/gateway/lib/peerlink.h
@@ -83,6 +83,7 @@
     MonotonicTime nextSearchAt{};
     MonotonicTime lastUrgentAt{};
     MonotonicTime nextMentionAt{};
+    MonotonicTime startedAt{};
     /// Beats since the last one that named this host's addresses to other failure domains.
     unsigned briefBeats = 0;
     bool isEntryHost = false;
--- a/packages/gateway/lib/peerreports.cpp
+++ b/packages/gateway/lib/peerreports.cpp
@@ -7,6 +7,9 @@
 /// How often admissions go out; between two reports each host keeps to its part of what an organisation has left.
 static constexpr Duration AdmissionInterval = std::chrono::milliseconds(300);
 
+/// With so few servers, hosts gain more from the servers of other domains than the reports on them cost.
+static constexpr std::size_t MaxServersForAll = 400;
+
 /// A failure domain that sent requests to servers of this one is kept informed for this long.
 static constexpr Duration UseMemory = std::chrono::seconds(2);
 
@@ -43,7 +46,8 @@
 {
     wire::Datagram datagram;
     const auto user = this->usersUntil.find(audience);
-    const bool hearsAll = audience == this->ownDomain || (user != this->usersUntil.end() && now < user->second);
+    const bool hearsAll
+        = audience == this->ownDomain || this->board.size() <= MaxServersForAll || (user != this->usersUntil.end() && now < user->second);
     for (const auto &report : this->evidence) {
         const auto *const state = this->board.find(report.server);
         const bool isTheirs = hearsAll || (state != nullptr && state->failureDomain == audience);
--- a/packages/gateway/lib/peerreports.h
+++ b/packages/gateway/lib/peerreports.h
@@ -12,7 +12,8 @@
 /// Makes the reports on servers and admissions that hosts send each other, each failure domain what it needs.
 ///
 /// Hosts of the own failure domain use the same servers and hear everything, as do those of a domain that uses these servers
-/// now. The others hear of failures at once, of full servers, and of admissions. Thread safety: one thread.
+/// now, and all hosts of a fleet with few servers. The others hear of failures at once, of full servers, and of admissions. Thread safety:
+/// one thread.
 class PeerReports
 {
 public:
--- a/packages/gateway/lib/requestflow.cpp
+++ b/packages/gateway/lib/requestflow.cpp
@@ -257,7 +257,7 @@
     query.excluded = this->usedServers;
     query.entryHostsInDomain = this->flow.directory.entryHostsPerDomain();
     query.isEntryHost = this->flow.directory.isEntryHost();
-    query.usedServersFloor = this->flow.outcomes.isFailing(this->service, now) ? this->flow.usedServersFloor : 0;
+    query.usedServersFloor = this->flow.outcomes.needsTrials(this->service, now) ? this->flow.usedServersFloor : 0;
     const auto placement = balance::chooseServer(query, *current, this->flow.board, this->flow.random, now);
     this->usableSlots = placement.usableSlots;
     if (placement.server == nullptr) {
@@ -501,7 +501,7 @@
     this->timer.cancel();
     this->cancelTries();
     if (!this->service.isEmpty()) {
-        this->flow.outcomes.note(this->service, outcome == AnsweredOutcome, this->flow.clock.now());
+        this->flow.outcomes.note(this->service, outcome == AnsweredOutcome, this->isIdempotent(), this->flow.clock.now());
     }
     const int status = response.status;
     this->responder->respond(std::move(response));
--- a/packages/gateway/lib/statesync.cpp
+++ b/packages/gateway/lib/statesync.cpp
@@ -372,10 +372,12 @@
         return;
     }
     std::vector<std::string> names;
+    names.reserve(next.size());
     for (const auto &domain : next) {
         names.push_back(domain.text());
     }
-    logEvent(LogLevel::Info, "evacuations_changed", {{"store_version", this->configuration.replica.version()}, {"evacuated", joined(names)}});
+    logEvent(
+        LogLevel::Info, "evacuations_changed", {{"store_version", this->configuration.replica.version()}, {"evacuated", joined(names)}});
     this->loggedEvacuations = next;
 }
 
--- a/packages/gateway/unittests/peerreportstest.cpp
+++ b/packages/gateway/unittests/peerreportstest.cpp
@@ -14,11 +14,11 @@
 
 namespace {
 
-/// Two servers of the own failure domain and one of another one, with two slots each.
+/// Two servers of the own failure domain and one of another one that matter, among many, with two slots each.
 class ReportFixture
 {
 public:
-    ReportFixture()
+    explicit ReportFixture(int others = 500)
     {
         std::vector<catalog::ServerEntry> entries;
         for (const auto &[id, domain] : {std::pair("s1", Own), std::pair("s2", Own), std::pair("s3", Other)}) {
@@ -28,6 +28,12 @@
             entry.slots = SlotCount(2);
             entries.push_back(entry);
         }
+        for (int i = 0; i < others; ++i) {
+            catalog::ServerEntry entry;
+            entry.id = BackendServerId("other" + std::to_string(i));
+            entry.failureDomain = Own;
+            entries.push_back(entry);
+        }
         this->board.retain(catalog::ServerTable(entries));
         this->clock.advance(1h);
     }
@@ -98,6 +104,15 @@
     CHECK(serversIn(fixture.reports.compose(Other, fixture.clock.now())) == Texts{"s2=0"});
 }
 
+TEST_CASE("in a fleet with few servers all hosts hear everything")
+{
+    ReportFixture fixture(10);
+    fixture.send("s1");
+    fixture.board.observe(BackendServerId("s2"), Evidence::Success, fixture.clock.now());
+    fixture.reports.collect(fixture.clock.now());
+    CHECK(serversIn(fixture.reports.compose(Other, fixture.clock.now())) == Texts{"s1=1", "s2:success"});
+}
+
 TEST_CASE("a server that is full over all hosts is reported, and again when it has room")
 {
     ReportFixture fixture;
--- a/packages/operatorclient/lib/commands.cpp
+++ b/packages/operatorclient/lib/commands.cpp
@@ -392,7 +392,10 @@
     {"server-drain", "SERVER", "give a backend server no new work (--reason)", drainServer},
     {"server-return", "SERVER", "give a backend server work again", returnServer},
     {"host-drain", "HOST", "have a host begin its planned stop", drainHost},
-    {"gateway-status", "ADDRESS,...", "show what hosts of a gateway fleet believe, by their control addresses (--json; needs no settings)", gatewayStatus},
+    {"gateway-status",
+     "ADDRESS,...",
+     "show what hosts of a gateway fleet believe, by their control addresses (--json; needs no settings)",
+     gatewayStatus},
     {"status", nullptr, "show the version in force on each host, ejections, rates (--json)", status},
 };
 
--- a/packages/operatorclient/lib/gatewaystatus.cpp
+++ b/packages/operatorclient/lib/gatewaystatus.cpp
@@ -60,8 +60,7 @@
                << state.value("role", "?") << std::setw(7) << (state.value("isReady", false) ? "yes" : "no") << std::setw(9)
                << textOf(state.value("configuration", json::object()).value("version", json())) << std::setw(9) << servers.size()
                << std::setw(10) << textOf(state.value("storeContactAgeMs", json())) << std::setw(7)
-               << textOf(state.value("hosts", json::object()).value("livingPeers", json())) << state.value("requestsInProgress", 0)
-               << "\n";
+               << textOf(state.value("hosts", json::object()).value("livingPeers", json())) << state.value("requestsInProgress", 0) << "\n";
         for (const auto &server : servers) {
             if (isDistrusted(server)) {
                 printServer(server, output);
--- a/packages/operatorclient/unittests/gatewaystatustest.cpp
+++ b/packages/operatorclient/unittests/gatewaystatustest.cpp
@@ -23,9 +23,9 @@
 TEST_CASE("the status of a gateway fleet lists its hosts and the servers that they distrust")
 {
     std::ostringstream output;
-    printGatewayStatus(json::array({{{"address", "10.0.0.1:8683"}, {"state", statePage()}},
-                                    {{"address", "10.0.0.2:8683"}, {"error", "timeout"}}}),
-                       output);
+    printGatewayStatus(
+        json::array({{{"address", "10.0.0.1:8683"}, {"state", statePage()}}, {{"address", "10.0.0.2:8683"}, {"error", "timeout"}}}),
+        output);
     const auto text = output.str();
     CHECK(text.find("edge-a-1") != std::string::npos);
     CHECK(text.find("i-1 of forecast: fails 69 of 100 requests") != std::string::npos);
@@ -42,20 +42,21 @@
         asked.clear();
         std::ostringstream output;
         std::ostringstream errors;
-        return runCommand({"gateway-status", "10.0.0.1:1,10.0.0.2:1"},
-                          {},
-                          [] {
-                              return nullptr;
-                          },
-                          [&](const Endpoint &address) -> Result<std::string> {
-                              asked.push_back(address.text());
-                              if (!answers) {
-                                  return std::make_error_code(std::errc::timed_out);
-                              }
-                              return statePage().dump();
-                          },
-                          output,
-                          errors);
+        return runCommand(
+            {"gateway-status", "10.0.0.1:1,10.0.0.2:1"},
+            {},
+            [] {
+                return nullptr;
+            },
+            [&](const Endpoint &address) -> Result<std::string> {
+                asked.push_back(address.text());
+                if (!answers) {
+                    return std::make_error_code(std::errc::timed_out);
+                }
+                return statePage().dump();
+            },
+            output,
+            errors);
     };
     CHECK(run(true) == ExitCode::Success);
     CHECK(asked == std::vector<std::string>{"10.0.0.1:1", "10.0.0.2:1"});
--- a/packages/testing/lib/rowstorestandin.cpp
+++ b/packages/testing/lib/rowstorestandin.cpp
@@ -279,11 +279,8 @@
             answer["has_more"] = true;
             break;
         }
-        answer["rows"].push_back({{"table", query["table"]},
-                                  {"part", part},
-                                  {"key", key},
-                                  {"value", encode(row->second.value)},
-                                  {"ver", row->second.version}});
+        answer["rows"].push_back(
+            {{"table", query["table"]}, {"part", part}, {"key", key}, {"value", encode(row->second.value)}, {"ver", row->second.version}});
     }
     return jsonResponse(200, answer);
 }
--- a/tests/fleet/httpconnection.cpp
+++ b/tests/fleet/httpconnection.cpp
@@ -109,7 +109,8 @@
         return this->fail(CallFault::NotConnected);
     }
     const std::string host = headers.rfind("Host: ", 0) == 0 ? "" : "Host: " + this->peer + "\r\n";
-    const std::string text = method + " " + target + " HTTP/1.1\r\n" + host + headers + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    const std::string text
+        = method + " " + target + " HTTP/1.1\r\n" + host + headers + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
     std::size_t sent = 0;
     while (sent < text.size()) {
         const auto count = ::send(this->socket, text.data() + sent, text.size() - sent, MSG_NOSIGNAL);
--- a/tests/soak/backendworld.cpp
+++ b/tests/soak/backendworld.cpp
@@ -114,9 +114,7 @@
                    entry("services", WorkService, {{"max_conns", 390}, {"warmup_per_s", ColdRate}}),
                    entry("services", PayService, {{"max_conns", 390}, {"warmup_per_s", ColdRate}}),
                    entry("tenants", "harbour", {{"api_keys", {"key-h"}}}),
-                   entry("tenants",
-                         LimitedOrganisation,
-                         {{"api_keys", {"key-m"}}, {"rate_per_s", LimitedRate}, {"burst", LimitedBurst}}),
+                   entry("tenants", LimitedOrganisation, {{"api_keys", {"key-m"}}, {"rate_per_s", LimitedRate}, {"burst", LimitedBurst}}),
                    entry("tenants", "school", {{"api_keys", keys}})};
     this->version += 1 + this->random() % 5;
     this->store->put("op", "config", json{{"version", this->version}, {"resources", std::move(resources)}}.dump());
--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -65,8 +65,8 @@
         const auto body = route.isIdempotent ? std::string() : "work " + call.request;
         call.content = method + " " + target + " " + body;
         call.sentAt = steady_clock::now();
-        const auto headers = "Host: " + this->world.virtualHost + "\r\nAttempt-Id: " + call.request + "\r\nDeadline-Ms: "
-            + std::to_string(Deadline.count()) + "\r\nAuthorization: Bearer " + key.key + "\r\n";
+        const auto headers = "Host: " + this->world.virtualHost + "\r\nAttempt-Id: " + call.request
+            + "\r\nDeadline-Ms: " + std::to_string(Deadline.count()) + "\r\nAuthorization: Bearer " + key.key + "\r\n";
         const auto reply = this->connection->call(method, target, headers, body, Deadline);
         call.endedAt = steady_clock::now();
         call.isNotSent = reply.fault == CallFault::NotConnected;
--- a/tests/soak/faultproxy.cpp
+++ b/tests/soak/faultproxy.cpp
@@ -98,13 +98,14 @@
 
     void read(Side &from, Side &to)
     {
-        from.source.async_read_some(asio::buffer(from.bytes), [self = this->shared_from_this(), &from, &to](std::error_code error, std::size_t size) {
-            if (error) {
-                self->pass(from, to, 0);
-                return;
-            }
-            self->pass(from, to, size);
-        });
+        from.source.async_read_some(asio::buffer(from.bytes),
+                                    [self = this->shared_from_this(), &from, &to](std::error_code error, std::size_t size) {
+                                        if (error) {
+                                            self->pass(from, to, 0);
+                                            return;
+                                        }
+                                        self->pass(from, to, size);
+                                    });
     }
 
     /// Writes what was read, or ends the other side after 0 bytes, as soon as the link lets it through.
--- a/tests/soak/gatewayfleet.cpp
+++ b/tests/soak/gatewayfleet.cpp
@@ -35,8 +35,7 @@
     return Names;
 }
 
-GatewayFleet::GatewayFleet(asio::io_context &ioContext, const Endpoint &storeAddress, std::uint64_t runSeed)
-    : context(ioContext)
+GatewayFleet::GatewayFleet(asio::io_context &ioContext, const Endpoint &storeAddress, std::uint64_t runSeed) : context(ioContext)
 {
     std::string name = (std::filesystem::temp_directory_path() / "soak-XXXXXX").string();
     if (::mkdtemp(name.data()) == nullptr) {
--- a/tests/soak/history.cpp
+++ b/tests/soak/history.cpp
@@ -179,7 +179,8 @@
                     continue;
                 }
                 const auto late = std::chrono::duration_cast<milliseconds>(arrival.at - change.at).count();
-                this->note("change in force", describe(call) + " reached " + arrival.server + " " + std::to_string(late) + " ms after " + change.subject);
+                this->note("change in force",
+                           describe(call) + " reached " + arrival.server + " " + std::to_string(late) + " ms after " + change.subject);
             }
         }
     }
@@ -259,7 +260,8 @@
                 };
                 const double allowed = this->bounds.retryRatio * static_cast<double>(within(requests)) + this->bounds.retrySlack;
                 if (static_cast<double>(within(moments)) > allowed) {
-                    this->note("retry budget", std::to_string(within(moments)) + " repeats to " + service + " in 10 s, of " + std::to_string(allowed));
+                    this->note("retry budget",
+                               std::to_string(within(moments)) + " repeats to " + service + " in 10 s, of " + std::to_string(allowed));
                     break;
                 }
             }
--- a/tests/soak/soaktest.cpp
+++ b/tests/soak/soaktest.cpp
@@ -328,7 +328,8 @@
                 LinkMode::Delay, LinkMode::Silent, LinkMode::SilentForward, LinkMode::SilentBackward, LinkMode::Reset};
             const int host = this->anyHost();
             const auto mode = Modes[this->random() % Modes.size()];
-            this->say("store link of h" + std::to_string(host) + " " + linkModeWord(mode) + " for " + std::to_string(length.count()) + " ms");
+            this->say("store link of h" + std::to_string(host) + " " + linkModeWord(mode) + " for " + std::to_string(length.count())
+                      + " ms");
             const auto set = [this, host](LinkMode wanted) {
                 this->backend.perform([this, host, wanted] {
                     this->fleet.storeLink(host).setMode(wanted);
--- a/tests/soak/workserver.cpp
+++ b/tests/soak/workserver.cpp
@@ -75,7 +75,10 @@
     return {status, std::move(headers), {}};
 }
 
-WorkServer::WorkServer(asio::io_context &ioContext, WorkServerSettings serverSettings, std::vector<Arrival> &recordedArrivals, std::uint64_t seed)
+WorkServer::WorkServer(asio::io_context &ioContext,
+                       WorkServerSettings serverSettings,
+                       std::vector<Arrival> &recordedArrivals,
+                       std::uint64_t seed)
     : settings(std::move(serverSettings))
     , context(ioContext)
     , server(ioContext,
