Take back the reports thinned out and the wait at the start; try unused servers

Change: while a service without repeatable requests fails its callers, unused servers without recent failures get work as well.

--- a/packages/balance/lib/organisationquota.cpp
+++ b/packages/balance/lib/organisationquota.cpp
@@ -14,9 +14,6 @@
 /// Other hosts hear at once of admissions when less than this part of the limit is left.
 static constexpr double UrgentPart = 0.3;
 
-/// The same when a host has used this part of what it may admit between two reports.
-static constexpr double UrgentOwnPart = 0.5;
-
 /// Admissions beyond the limit that the hosts together may make between two reports.
 static constexpr double ReportTolerance = 10;
 
@@ -91,7 +88,6 @@
         this->isUrgent = this->isUrgent || left < decision.limit * UrgentPart;
         // Between two reports the hosts share what is left, so that they do not all use it at once.
         const double ownPart = std::max(1.0, (left + account.unreported + ReportTolerance) / this->hosts);
-        this->isUrgent = this->isUrgent || account.unreported + 1 > ownPart * UrgentOwnPart;
         if (left < 1 || account.unreported + 1 > ownPart) {
             // On average, the window frees one admission in this time.
             decision.retryAfter = std::chrono::duration_cast<Duration>(this->window / std::max(1.0, decision.limit));
--- a/packages/balance/lib/placement.cpp
+++ b/packages/balance/lib/placement.cpp
@@ -114,13 +114,15 @@
         ++this->used;
     }
 
-    /// Returns the most reliable unused server if the used ones are below the floor.
+    /// Returns the most reliable unused server if it is likely to be sound, or if the used ones are below the floor.
+    ///
+    /// Used servers that fail count for the floor, so that it says nothing about the sound ones among the unused.
     std::optional<Placement> missing(double floor) const
     {
         // Of two or three servers, a failing one is left alone.
         const double least = this->usable < LeastServersForFloor ? std::floor(floor * this->usable) : floor * this->usable;
-        const bool isBelow = this->used < least;
-        return isBelow && this->next.server != nullptr ? std::optional(this->next) : std::nullopt;
+        const bool isWanted = this->used < least || this->next.failureProbability < RiskyFailureProbability;
+        return floor > 0 && isWanted && this->next.server != nullptr ? std::optional(this->next) : std::nullopt;
     }
 
 private:
--- a/packages/balance/unittests/placementtest.cpp
+++ b/packages/balance/unittests/placementtest.cpp
@@ -255,6 +255,32 @@
     CHECK(used.size() >= 7);
 }
 
+// Guards against sound servers that get nothing while failing ones are used and count for the floor.
+TEST_CASE("while a service fails its callers, unused servers without recent failures get work")
+{
+    static constexpr int Servers = 13;
+    static constexpr int Failing = 9;
+    PlacementFixture fixture(Servers);
+    fixture.query.usedServersFloor = 0.7;
+    std::set<std::string> used;
+    // 2 s at 20 requests a second; the failing servers get requests of other hosts, and two of the sound ones do.
+    for (int i = 0; i < 40; ++i) {
+        for (int server = 0; server < Failing + 2; ++server) {
+            const BackendServerId id("s" + std::to_string(server));
+            fixture.board.onRemote(
+                HostId("other"), {{id, server < Failing ? Evidence::BrokenAnswer : Evidence::Success}}, {}, fixture.clock.now());
+        }
+        const auto placement = fixture.choose();
+        REQUIRE(placement.server != nullptr);
+        used.insert(placement.server->id.text());
+        fixture.board.onSent(placement.server->id, fixture.clock.now());
+        fixture.board.onFinished(placement.server->id);
+        fixture.clock.advance(50ms);
+    }
+    CHECK(used.contains("s11"));
+    CHECK(used.contains("s12"));
+}
+
 // Hosts of other failure domains do not report the use of sound servers, so that all of those would look unused.
 TEST_CASE("the floor does not send work to servers of other failure domains")
 {
--- a/packages/gateway/fleet.thrift
+++ b/packages/gateway/fleet.thrift
@@ -24,19 +24,6 @@
     14: i32 milliCores
 }
 
-// What changes of a host between two beats; its addresses are known from a beat of the same incarnation.
-struct HostBrief {
-    1: string host
-    2: i64 incarnation
-    3: bool isLeaving
-    4: bool isServing
-    5: bool isEntry
-    6: i32 beatIntervalMs
-    7: i64 configurationVersion
-    8: i64 serversVersion
-    9: i32 storeContactAgeMs
-}
-
 struct ServerEvidence {
     1: string server
     2: i8 evidence
@@ -53,7 +40,7 @@
 }
 
 struct Datagram {
-    1: optional HostBeat sender
+    1: HostBeat sender
     // Hosts that the receiver may not know.
     2: optional list<HostBeat> mentioned
     3: optional list<ServerEvidence> evidence
@@ -61,8 +48,6 @@
     5: optional list<Admissions> admissions
     // Asks the receiver to name the hosts that it knows.
     6: optional bool wantsMentions
-    // Stands for the sender's beat in datagrams that are sent often.
-    7: optional HostBrief brief
 }
 
 // One row of a table of the store.
--- a/packages/gateway/lib/peerlink.cpp
+++ b/packages/gateway/lib/peerlink.cpp
@@ -47,12 +47,6 @@
 /// How often an entry host names those of the other failure domains to its own.
 static constexpr Duration MentionInterval = std::chrono::seconds(1);
 
-/// Of so many beats to another failure domain, one names the addresses of this host.
-static constexpr unsigned BeatsPerAddress = 4;
-
-/// What a starting host assumes of the rates holds for this long; the hosts admit little in that time.
-static constexpr Duration StartTime = std::chrono::seconds(1);
-
 /// Hosts that one datagram mentions.
 static constexpr std::size_t MaxMentioned = 8;
 
@@ -97,11 +91,7 @@
     return address ? std::optional(asio::ip::udp::endpoint(address->address(), address->port())) : std::nullopt;
 }
 
-PeerLink::PeerLink(Parts linkParts)
-    : parts(std::move(linkParts))
-    , reports(parts.board, parts.quota, parts.directory.own().failureDomain)
-    , socket(parts.context)
-    , timer(parts.context)
+PeerLink::PeerLink(Parts linkParts) : parts(std::move(linkParts)), socket(parts.context), timer(parts.context)
 {
 }
 
@@ -123,7 +113,6 @@
     if (error) {
         return error;
     }
-    this->startedAt = this->parts.clock.now();
     this->receive();
     this->tick();
     return {};
@@ -153,12 +142,7 @@
         return;
     }
     const auto now = this->parts.clock.now();
-    const auto senderBeat = this->senderOf(*datagram);
-    if (!senderBeat) {
-        // The next beat with addresses makes the sender known.
-        return;
-    }
-    const auto record = recordOf(*senderBeat);
+    const auto record = recordOf(datagram->sender);
     this->parts.directory.onBeat(record, now);
     for (const auto &mentioned : datagram->mentioned) {
         this->parts.directory.onMentioned(recordOf(mentioned), now);
@@ -173,7 +157,6 @@
             loads.push_back({BackendServerId(entry.server), static_cast<std::uint32_t>(std::max(0, entry.outstanding))});
         }
         this->parts.board.onRemote(record.id, evidence, loads, now);
-        this->reports.onLoads(record.failureDomain, loads, now);
     }
     if (datagram->__isset.admissions) {
         std::vector<balance::AdmissionCount> counts;
@@ -186,10 +169,10 @@
     standing.host = record.id;
     standing.failureDomain = record.failureDomain;
     standing.controlAddress = record.controlAddress;
-    standing.configurationVersion = static_cast<std::uint64_t>(senderBeat->configurationVersion);
-    standing.serversVersion = static_cast<std::uint64_t>(senderBeat->serversVersion);
-    if (senderBeat->storeContactAgeMs >= 0) {
-        standing.storeContactAge = milliseconds(senderBeat->storeContactAgeMs);
+    standing.configurationVersion = static_cast<std::uint64_t>(datagram->sender.configurationVersion);
+    standing.serversVersion = static_cast<std::uint64_t>(datagram->sender.serversVersion);
+    if (datagram->sender.storeContactAgeMs >= 0) {
+        standing.storeContactAge = milliseconds(datagram->sender.storeContactAgeMs);
     }
     this->parts.onStanding(standing);
     if (datagram->wantsMentions) {
@@ -197,29 +180,6 @@
     }
 }
 
-/// Returns the sender's beat; that of a brief is completed from what the sender said before.
-std::optional<wire::HostBeat> PeerLink::senderOf(const wire::Datagram &datagram) const
-{
-    if (datagram.__isset.sender) {
-        return datagram.sender;
-    }
-    const auto &brief = datagram.brief;
-    const auto *const known
-        = this->parts.directory.findHeard(HostId(brief.host), Incarnation(static_cast<std::uint64_t>(brief.incarnation)));
-    if (!datagram.__isset.brief || known == nullptr) {
-        return std::nullopt;
-    }
-    auto beat = beatOf(*known);
-    beat.isLeaving = brief.isLeaving;
-    beat.isServing = brief.isServing;
-    beat.isEntry = brief.isEntry;
-    beat.beatIntervalMs = brief.beatIntervalMs;
-    beat.configurationVersion = brief.configurationVersion;
-    beat.serversVersion = brief.serversVersion;
-    beat.storeContactAgeMs = brief.storeContactAgeMs;
-    return beat;
-}
-
 void PeerLink::tick()
 {
     const auto now = this->parts.clock.now();
@@ -258,10 +218,7 @@
     const bool serves = isEntry || now - this->parts.lastServedAt() < ServingMemory;
     if (std::exchange(this->isServing, serves) != serves) {
         this->nextBeatAt = now;
-        // A host that has just started assumes already that the rates were used up.
-        if (now - this->startedAt > StartTime) {
-            this->parts.quota.assumeUnknown(now);
-        }
+        this->parts.quota.assumeUnknown(now);
     }
     this->logEntryHosts(now);
     this->parts.sync.setRank(directory.ownRank(now));
@@ -319,26 +276,10 @@
     return beat;
 }
 
-wire::HostBrief PeerLink::ownBrief() const
-{
-    const auto beat = this->ownBeat();
-    wire::HostBrief brief;
-    brief.host = beat.host;
-    brief.incarnation = beat.incarnation;
-    brief.isLeaving = beat.isLeaving;
-    brief.isServing = beat.isServing;
-    brief.isEntry = beat.isEntry;
-    brief.beatIntervalMs = beat.beatIntervalMs;
-    brief.configurationVersion = beat.configurationVersion;
-    brief.serversVersion = beat.serversVersion;
-    brief.storeContactAgeMs = beat.storeContactAgeMs;
-    return brief;
-}
-
 void PeerLink::beat(MonotonicTime now)
 {
     wire::Datagram datagram;
-    datagram.__set_sender(this->ownBeat());
+    datagram.sender = this->ownBeat();
     const milliseconds interval(datagram.sender.beatIntervalMs);
     this->nextBeatAt = now + interval;
     const auto &own = this->parts.directory.own();
@@ -354,12 +295,6 @@
     if (!this->isServing && !own.isLeaving) {
         return;
     }
-    // Bytes between failure domains are paid for.
-    const bool namesAddresses = datagram.__isset.mentioned || this->briefBeats++ % BeatsPerAddress == 0;
-    if (!namesAddresses) {
-        datagram.__isset.sender = false;
-        datagram.__set_brief(this->ownBrief());
-    }
     for (const auto *const host : this->parts.directory.servingPeers(now)) {
         if (host->failureDomain != own.failureDomain) {
             this->send(datagram, host->peerAddress);
@@ -394,19 +329,34 @@
 void PeerLink::report(MonotonicTime now)
 {
     this->nextReportAt = now + ReportInterval;
-    this->reports.collect(now);
-    std::map<FailureDomainId, std::optional<wire::Datagram>> composed;
+    wire::Datagram datagram;
+    for (const auto &report : this->parts.board.takeEvidence()) {
+        wire::ServerEvidence entry;
+        entry.server = report.server.text();
+        entry.evidence = static_cast<std::int8_t>(report.evidence);
+        datagram.evidence.push_back(std::move(entry));
+    }
+    for (const auto &report : this->parts.board.takeOutstanding()) {
+        wire::ServerLoad entry;
+        entry.server = report.server.text();
+        entry.outstanding = static_cast<std::int32_t>(report.requests);
+        datagram.loads.push_back(std::move(entry));
+    }
+    for (const auto &count : this->parts.quota.takeReport()) {
+        wire::Admissions entry;
+        entry.organisation = count.organisation.text();
+        entry.admitted = static_cast<std::int64_t>(count.admitted);
+        datagram.admissions.push_back(std::move(entry));
+    }
+    if (datagram.evidence.empty() && datagram.loads.empty() && datagram.admissions.empty()) {
+        return;
+    }
+    datagram.__isset.evidence = !datagram.evidence.empty();
+    datagram.__isset.loads = !datagram.loads.empty();
+    datagram.__isset.admissions = !datagram.admissions.empty();
+    datagram.sender = this->ownBeat();
     for (const auto *const host : this->parts.directory.servingPeers(now)) {
-        auto found = composed.find(host->failureDomain);
-        if (found == composed.end()) {
-            found = composed.emplace(host->failureDomain, this->reports.compose(host->failureDomain, now)).first;
-            if (found->second) {
-                found->second->__set_brief(this->ownBrief());
-            }
-        }
-        if (found->second) {
-            this->send(*found->second, host->peerAddress);
-        }
+        this->send(datagram, host->peerAddress);
     }
 }
 
@@ -415,7 +365,7 @@
     this->nextSearchAt = now + SearchInterval;
     auto &directory = this->parts.directory;
     wire::Datagram question;
-    question.__set_sender(this->ownBeat());
+    question.sender = this->ownBeat();
     question.__set_wantsMentions(true);
     const auto known = directory.knownHosts(now);
     for (const auto &domain : this->parts.failureDomains) {
@@ -453,7 +403,7 @@
 void PeerLink::mentionTo(const Endpoint &target, MonotonicTime now)
 {
     wire::Datagram answer;
-    answer.__set_sender(this->ownBeat());
+    answer.sender = this->ownBeat();
     this->addMentions(answer, now);
     this->send(answer, target);
 }
