Keep a row that was removed and written again within one batch

Cause: found on reading the change: the removal is noted with the version at the end of its batch, so that a peer whose batches end elsewhere was told to drop a row that it had read already, and did not get it again. Change: keys that the copy holds are not named as removed.

--- a/packages/gateway/lib/tablereplica.cpp
+++ b/packages/gateway/lib/tablereplica.cpp
@@ -130,7 +130,8 @@
     answer.__isset.keys = !knowsRemovals;
     answer.__isset.removed = knowsRemovals;
     for (const auto &removal : this->removals) {
-        if (knowsRemovals && removal.version > after) {
+        // A key that was written again is among the rows, or the peer has it already.
+        if (knowsRemovals && removal.version > after && !this->held.contains(removal.key)) {
             answer.removed.push_back(removal.key);
         }
     }
--- a/packages/gateway/unittests/tablereplicatest.cpp
+++ b/packages/gateway/unittests/tablereplicatest.cpp
@@ -127,6 +127,21 @@
     CHECK(peer.rows().at("a").value == "2");
 }
 
+// Guards against a peer whose batches end elsewhere and that drops a row which it has read already.
+TEST_CASE("a key that was removed and written again within one batch stays at a peer that has read it")
+{
+    testing::VirtualClock clock;
+    TableReplica leader;
+    TableReplica peer;
+    for (auto *const replica : {&leader, &peer}) {
+        replica->replace(batch(5, {{"a", "1", 3, false}}), clock.now());
+    }
+    peer.apply(batch(7, {{"a", "", 6, true}, {"a", "2", 7, false}}), clock.now());
+    leader.apply(batch(9, {{"a", "", 6, true}, {"a", "2", 7, false}, {"b", "1", 9, false}}), clock.now());
+    CHECK(peer.adopt(leader.answer(peer.version(), clock.now()), clock.now()));
+    CHECK(peer.rows().size() == 2);
+}
+
 TEST_CASE("with more removals than are kept a peer gets all keys")
 {
     testing::VirtualClock clock;
