Hand the use of the last window to a host that begins to serve

An organisation had used its limit in a burst 2 s before half of the hosts restarted. A host that begins to serve assumed the full limit, which fades at the bare rate from that moment; a burst leaves the window only when it is a window old. The logs show the surviving entry hosts at 99 to 101 of 102 while the new ones admitted 43 more. Two smaller leaks on the way: the first report of another host counted for nothing, and a report that named an organisation before the catalog did left it without the assumption.

Change: a host that begins to serve asks serving hosts for the admissions of the window by age, and takes the larger of each slice. Reports carry what is new in them. Without an answer the assumption stays.

Test: four of six hosts restart after a burst: 555 to 558 of 416 before, within 416 after (five seeds).

--- a/packages/balance/include/rhubarbtiller/balance/organisationquota.h
+++ b/packages/balance/include/rhubarbtiller/balance/organisationquota.h
@@ -6,6 +6,7 @@
 #include <array>
 #include <map>
 #include <unordered_map>
+#include <vector>
 
 namespace rhubarbtiller::balance {
 
@@ -25,6 +26,20 @@
 {
     OrganisationId organisation;
     std::uint64_t admitted = 0;
+    /// The part of it that no report named before.
+    std::uint64_t sinceLastReport = 0;
+};
+
+/// What the fleet admitted for an organisation in the last window, as one host knows it.
+struct WindowUse
+{
+    OrganisationId organisation;
+    /// What the host itself admitted since it started.
+    std::uint64_t admitted = 0;
+    /// Admissions that the host may not have heard of, at most.
+    double assumed = 0;
+    /// Admissions by age in slices of the window, the newest first.
+    std::vector<std::uint32_t> bySlice;
 };
 
 /// How much of its limit an organisation has used, as one host knows it.
@@ -80,6 +95,19 @@
     /// Counts what another host admitted since its last report. Precondition: \p now does not go back.
     void onReport(const HostId &host, Incarnation incarnation, const std::vector<AdmissionCount> &counts, MonotonicTime now);
 
+    /// Returns what a host that begins to serve has to know: the use of each organisation with a rate in the last window.
+    ///
+    /// Precondition: \p now does not go back.
+    std::vector<WindowUse> windowUses(MonotonicTime now) const;
+
+    /// Returns whether this host should ask a host that serves for its window uses. Precondition: \p now does not go back.
+    bool needsWindowUses(MonotonicTime now) const;
+
+    /// Learns from a host that serves what was admitted before this one did, in place of assuming the most.
+    ///
+    /// If \p isComplete, the organisations that are not named used nothing. Precondition: \p now does not go back.
+    void onWindowUses(const HostId &host, Incarnation incarnation, const std::vector<WindowUse> &uses, bool isComplete, MonotonicTime now);
+
 private:
     /// Slices of one window, and one more for the slice that has begun to leave it.
     static constexpr std::size_t WindowSlices = 25;
@@ -100,6 +128,7 @@
         /// What others may have admitted before this host could hear of it; it leaves the window at the bare rate.
         double assumed = 0;
         MonotonicTime assumedAt{};
+        bool isConfigured = false;
         std::uint64_t admitted = 0;
         /// Admissions that the other hosts do not know of yet.
         double unreported = 0;
@@ -111,7 +140,12 @@
         std::unordered_map<OrganisationId, std::uint64_t> admitted;
     };
 
+    static void assume(Account &account, double admissions, MonotonicTime now);
+    RemoteCounts &remoteCounts(const HostId &host, Incarnation incarnation);
+    std::int64_t sliceNumber(MonotonicTime now) const;
+    static Slice &sliceAt(Account &account, std::int64_t number);
     Slice &currentSlice(Account &account, MonotonicTime now) const;
+    double assumedInWindow(const Account &account, MonotonicTime now) const;
     double admittedInWindow(const Account &account, MonotonicTime now) const;
 
     Duration window;
@@ -120,6 +154,8 @@
     double heardShare = 1;
     double hosts = 1;
     bool isUrgent = false;
+    /// Until then other hosts are asked for their window uses.
+    MonotonicTime asksUntil{};
 };
 
 } // namespace rhubarbtiller::balance
--- a/packages/balance/lib/organisationquota.cpp
+++ b/packages/balance/lib/organisationquota.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cassert>
+#include <unordered_set>
+#include <utility>
 
 namespace rhubarbtiller::balance {
 
@@ -17,6 +19,9 @@
 /// Admissions beyond the limit that the hosts together may make between two reports.
 static constexpr double ReportTolerance = 10;
 
+/// A host that got no answer by then goes on with what it assumes; three reports of each other host have come meanwhile.
+static constexpr Duration AskTime = std::chrono::milliseconds(500);
+
 OrganisationQuota::OrganisationQuota(Duration windowLength) : window(windowLength)
 {
     assert(windowLength > Duration(0) && "a rate is counted over a window");
@@ -26,13 +31,13 @@
 {
     const double seconds = std::chrono::duration<double>(this->window).count();
     for (const auto &organisation : catalog.organisations()) {
-        const auto [entry, isNew] = this->accounts.try_emplace(organisation.id);
-        auto &account = entry->second;
+        auto &account = this->accounts[organisation.id];
         account.ratePerSecond = organisation.rate.count();
         account.limit = organisation.rate.count() > 0 ? organisation.rate.count() * seconds + organisation.burst.count() : 0;
-        if (isNew) {
-            account.assumed = account.limit;
-            account.assumedAt = now - StartTime;
+        // Reports may name an organisation before the catalog does.
+        if (!std::exchange(account.isConfigured, true)) {
+            assume(account, account.limit, now - StartTime);
+            this->asksUntil = now + AskTime;
         }
     }
 }
@@ -49,14 +54,24 @@
     this->remotes.clear();
     for (auto &[id, account] : this->accounts) {
         account.slices = {};
-        account.assumed = account.limit;
-        account.assumedAt = now;
+        assume(account, account.limit, now);
     }
+    this->asksUntil = now + AskTime;
 }
 
-OrganisationQuota::Slice &OrganisationQuota::currentSlice(Account &account, MonotonicTime now) const
+void OrganisationQuota::assume(Account &account, double admissions, MonotonicTime now)
+{
+    account.assumed = admissions;
+    account.assumedAt = now;
+}
+
+std::int64_t OrganisationQuota::sliceNumber(MonotonicTime now) const
+{
+    return now.time_since_epoch() / (this->window / WindowSlices);
+}
+
+OrganisationQuota::Slice &OrganisationQuota::sliceAt(Account &account, std::int64_t number)
 {
-    const std::int64_t number = now.time_since_epoch() / (this->window / WindowSlices);
     auto &slice = account.slices[static_cast<std::size_t>(number) % SliceCount];
     if (slice.number != number) {
         slice = {number, 0};
@@ -64,13 +79,23 @@
     return slice;
 }
 
-double OrganisationQuota::admittedInWindow(const Account &account, MonotonicTime now) const
+OrganisationQuota::Slice &OrganisationQuota::currentSlice(Account &account, MonotonicTime now) const
+{
+    return sliceAt(account, this->sliceNumber(now));
+}
+
+double OrganisationQuota::assumedInWindow(const Account &account, MonotonicTime now) const
 {
-    const std::int64_t number = now.time_since_epoch() / (this->window / WindowSlices);
     const auto sinceAssumed = now - account.assumedAt;
     const double faded = account.ratePerSecond * std::chrono::duration<double>(sinceAssumed).count();
+    return sinceAssumed < this->window ? std::max(0.0, account.assumed - faded) : 0;
+}
+
+double OrganisationQuota::admittedInWindow(const Account &account, MonotonicTime now) const
+{
+    const std::int64_t number = this->sliceNumber(now);
     // The other parts of the fleet assume the rest.
-    double sum = sinceAssumed < this->window ? std::max(0.0, account.assumed - faded) * this->heardShare : 0;
+    double sum = this->assumedInWindow(account, now) * this->heardShare;
     for (const auto &slice : account.slices) {
         sum += slice.number > number - static_cast<std::int64_t>(SliceCount) ? slice.admitted : 0;
     }
@@ -110,8 +135,8 @@
     std::vector<AdmissionCount> counts;
     this->isUrgent = false;
     for (auto &[id, account] : this->accounts) {
-        if (std::exchange(account.unreported, 0) > 0) {
-            counts.push_back({id, account.admitted});
+        if (const double unreported = std::exchange(account.unreported, 0); unreported > 0) {
+            counts.push_back({id, account.admitted, static_cast<std::uint64_t>(unreported)});
         }
     }
     return counts;
@@ -129,20 +154,99 @@
     return standings;
 }
 
-void OrganisationQuota::onReport(const HostId &host, Incarnation incarnation, const std::vector<AdmissionCount> &counts, MonotonicTime now)
+OrganisationQuota::RemoteCounts &OrganisationQuota::remoteCounts(const HostId &host, Incarnation incarnation)
 {
     auto &remote = this->remotes[host];
     if (remote.incarnation != incarnation) {
         remote = {incarnation, {}};
     }
-    for (const auto &[id, admitted] : counts) {
-        const auto [known, isFirst] = remote.admitted.try_emplace(id, admitted);
-        // The first count may go back long before the window; reports may arrive out of order.
-        if (isFirst || admitted <= known->second) {
+    return remote;
+}
+
+void OrganisationQuota::onReport(const HostId &host, Incarnation incarnation, const std::vector<AdmissionCount> &counts, MonotonicTime now)
+{
+    auto &remote = this->remoteCounts(host, incarnation);
+    for (const auto &[id, admitted, sinceLastReport] : counts) {
+        // The first count may go back long before the window, except for what is new in it.
+        auto &known = remote.admitted.try_emplace(id, admitted - std::min(admitted, sinceLastReport)).first->second;
+        // Reports may arrive out of order.
+        if (admitted <= known) {
             continue;
         }
-        this->currentSlice(this->accounts[id], now).admitted += static_cast<double>(admitted - known->second);
-        known->second = admitted;
+        this->currentSlice(this->accounts[id], now).admitted += static_cast<double>(admitted - known);
+        known = admitted;
+    }
+}
+
+std::vector<WindowUse> OrganisationQuota::windowUses(MonotonicTime now) const
+{
+    const std::int64_t number = this->sliceNumber(now);
+    std::vector<WindowUse> uses;
+    uses.reserve(this->accounts.size());
+    for (const auto &[id, account] : this->accounts) {
+        if (account.limit <= 0 || this->admittedInWindow(account, now) <= 0) {
+            continue;
+        }
+        WindowUse use{id, account.admitted, this->assumedInWindow(account, now), {}};
+        for (std::int64_t age = 0; age < static_cast<std::int64_t>(SliceCount); ++age) {
+            const auto &slice = account.slices[static_cast<std::size_t>(number - age) % SliceCount];
+            const double admitted = slice.number == number - age ? std::max(0.0, slice.admitted) : 0;
+            use.bySlice.push_back(static_cast<std::uint32_t>(admitted));
+        }
+        while (!use.bySlice.empty() && use.bySlice.back() == 0) {
+            use.bySlice.pop_back();
+        }
+        uses.push_back(std::move(use));
+    }
+    return uses;
+}
+
+bool OrganisationQuota::needsWindowUses(MonotonicTime now) const
+{
+    return now < this->asksUntil;
+}
+
+void OrganisationQuota::onWindowUses(const HostId &host,
+                                     Incarnation incarnation,
+                                     const std::vector<WindowUse> &uses,
+                                     bool isComplete,
+                                     MonotonicTime now)
+{
+    const std::int64_t number = this->sliceNumber(now);
+    auto &remote = this->remoteCounts(host, incarnation);
+    std::unordered_set<OrganisationId> named;
+    bool isSure = true;
+    for (const auto &use : uses) {
+        const auto found = this->accounts.find(use.organisation);
+        if (found == this->accounts.end()) {
+            continue;
+        }
+        auto &account = found->second;
+        auto &known = remote.admitted[use.organisation];
+        known = std::max(known, use.admitted);
+        isSure = isSure && use.assumed <= 0;
+        if (use.assumed < this->assumedInWindow(account, now)) {
+            assume(account, use.assumed, now);
+        }
+        // The other host does not know yet what this one has not reported.
+        double unheard = account.unreported;
+        for (std::size_t age = 0; age < std::min(use.bySlice.size(), SliceCount); ++age) {
+            auto &admitted = sliceAt(account, number - static_cast<std::int64_t>(age)).admitted;
+            admitted = std::max(admitted, static_cast<double>(use.bySlice[age]) + std::exchange(unheard, 0));
+        }
+        named.insert(use.organisation);
+    }
+    if (!isComplete) {
+        return;
+    }
+    for (auto &[id, account] : this->accounts) {
+        if (!named.contains(id)) {
+            assume(account, 0, now);
+        }
+    }
+    // A host that assumes something itself knows little.
+    if (isSure) {
+        this->asksUntil = now;
     }
 }
 
--- a/packages/balance/unittests/organisationquotatest.cpp
+++ b/packages/balance/unittests/organisationquotatest.cpp
@@ -169,9 +169,10 @@
     {
         while (!this->inFlight.empty() && this->inFlight.front().arrivesAt <= this->clock.now()) {
             const auto &message = this->inFlight.front();
-            this->hosts[message.to].onReport(HostId(std::to_string(message.from)), Incarnation(1), message.counts, this->clock.now());
+            this->hosts[message.to].onReport(hostId(message.from), this->incarnations[message.from], message.counts, this->clock.now());
             this->inFlight.pop_front();
         }
+        this->ask();
         for (std::size_t from = 0; from < this->hosts.size(); ++from) {
             const bool isDue = this->steps % 30 == from || (this->steps % 10 == 0 && this->hosts[from].hasUrgentReport());
             if (!isDue) {
@@ -187,6 +188,20 @@
         ++this->steps;
     }
 
+    /// Replaces the first hosts by new processes, which know nothing.
+    void restart(std::size_t count)
+    {
+        for (std::size_t host = 0; host < count; ++host) {
+            this->hosts[host] = OrganisationQuota(Window);
+            this->hosts[host].configure(catalogWith(60, 60), this->clock.now());
+            this->hosts[host].setHeard(1, this->hosts.size());
+            this->incarnations[host] = Incarnation(this->incarnations[host].count() + 1);
+        }
+        std::erase_if(this->inFlight, [count](const Message &message) {
+            return message.to < count || message.from < count;
+        });
+    }
+
     OrganisationQuota &any()
     {
         return this->hosts[this->random.below(this->hosts.size())];
@@ -201,10 +216,28 @@
         std::vector<AdmissionCount> counts;
     };
 
+    static HostId hostId(std::size_t host)
+    {
+        return HostId(std::to_string(host));
+    }
+
+    /// Lets a host that knows too little ask any other, every 50 ms.
+    void ask()
+    {
+        const auto now = this->clock.now();
+        for (std::size_t host = 0; host < this->hosts.size() && this->steps % 10 == 0; ++host) {
+            const auto other = this->random.below(this->hosts.size());
+            if (other != host && this->hosts[host].needsWindowUses(now)) {
+                this->hosts[host].onWindowUses(hostId(other), this->incarnations[other], this->hosts[other].windowUses(now), true, now);
+            }
+        }
+    }
+
     testing::VirtualClock &clock;
     SeededRandom random;
     double loss;
     std::vector<OrganisationQuota> hosts;
+    std::vector<Incarnation> incarnations = std::vector<Incarnation>(6, Incarnation(1));
     std::deque<Message> inFlight;
     std::size_t steps = 0;
 };
@@ -255,3 +288,97 @@
         CHECK(refused == 0);
     }
 }
+
+TEST_CASE("hosts that restart together after a burst learn from the others that the limit is used")
+{
+    for (const std::uint64_t seed : {21, 22, 23, 24, 25}) {
+        CAPTURE(seed);
+        testing::VirtualClock clock;
+        QuotaFleet fleet(clock, seed, 0.02);
+        std::vector<MonotonicTime> admissions;
+        for (int i = 0; i < 4000; ++i) {
+            // The burst takes all of the limit in a second or two.
+            if (i == 1200 + 400) {
+                fleet.restart(4);
+            }
+            fleet.step();
+            const int arrivals = i < 1200 ? (i % 40 == 0 ? 1 : 0) : 2;
+            for (int k = 0; k < arrivals; ++k) {
+                if (!fleet.any().admit(Org, clock.now()).retryAfter) {
+                    admissions.push_back(clock.now());
+                }
+            }
+            clock.advance(5ms);
+        }
+        const double limit = 60 * 5 + 60;
+        CHECK(static_cast<double>(mostInWindow(admissions)) <= limit * 1.1 + 20);
+    }
+}
+
+TEST_CASE("a host that begins to serve admits what the others say is left")
+{
+    testing::VirtualClock clock;
+    OrganisationQuota old(Window);
+    old.configure(catalogWith(20, 20), clock.now());
+    clock.advance(20s);
+    for (int i = 0; i < 50; ++i) {
+        REQUIRE_FALSE(old.admit(Org, clock.now()).retryAfter);
+    }
+    clock.advance(1s);
+    OrganisationQuota fresh(Window);
+    fresh.configure(catalogWith(20, 20), clock.now());
+    REQUIRE(fresh.needsWindowUses(clock.now()));
+    fresh.onWindowUses(HostId("old"), Incarnation(1), old.windowUses(clock.now()), true, clock.now());
+    CHECK_FALSE(fresh.needsWindowUses(clock.now()));
+    CHECK(fresh.admit(Org, clock.now()).used == doctest::Approx(50));
+    // The report names what the answer held already.
+    fresh.onReport(HostId("old"), Incarnation(1), old.takeReport(), clock.now());
+    CHECK(fresh.admit(Org, clock.now()).used == doctest::Approx(51));
+    clock.advance(4300ms);
+    CHECK(fresh.admit(Org, clock.now()).used == doctest::Approx(2));
+}
+
+TEST_CASE("an organisation that no host names used nothing, if the answer is complete")
+{
+    testing::VirtualClock clock;
+    OrganisationQuota fresh(Window);
+    fresh.configure(catalogWith(20, 20), clock.now());
+    fresh.onWindowUses(HostId("old"), Incarnation(1), {}, false, clock.now());
+    CHECK(fresh.admit(Org, clock.now()).used > 100);
+    CHECK(fresh.needsWindowUses(clock.now()));
+    fresh.onWindowUses(HostId("old"), Incarnation(1), {}, true, clock.now());
+    CHECK(fresh.admit(Org, clock.now()).used < 20);
+}
+
+TEST_CASE("a host that has just started itself does not end the questions")
+{
+    testing::VirtualClock clock;
+    OrganisationQuota first(Window);
+    OrganisationQuota second(Window);
+    first.configure(catalogWith(20, 20), clock.now());
+    second.configure(catalogWith(20, 20), clock.now());
+    second.onWindowUses(HostId("first"), Incarnation(1), first.windowUses(clock.now()), true, clock.now());
+    CHECK(second.needsWindowUses(clock.now()));
+    CHECK(second.admit(Org, clock.now()).used > 100);
+    clock.advance(1s);
+    CHECK_FALSE(second.needsWindowUses(clock.now()));
+}
+
+TEST_CASE("a report that comes before the catalog does not make room")
+{
+    testing::VirtualClock clock;
+    OrganisationQuota quota(Window);
+    quota.onReport(HostId("other"), Incarnation(1), {{Org, 10, 2}}, clock.now());
+    quota.configure(catalogWith(20, 20), clock.now());
+    CHECK(quota.admit(Org, clock.now()).used >= 110);
+}
+
+TEST_CASE("the first report of another host counts what it admitted since the one before")
+{
+    testing::VirtualClock clock;
+    OrganisationQuota quota(Window);
+    quota.configure(catalogWith(20, 0), clock.now());
+    clock.advance(10s);
+    quota.onReport(HostId("other"), Incarnation(1), {{Org, 1000, 7}}, clock.now());
+    CHECK(quota.admit(Org, clock.now()).used == doctest::Approx(7));
+}
--- a/packages/gateway/fleet.thrift
+++ b/packages/gateway/fleet.thrift
@@ -37,6 +37,19 @@
 struct Admissions {
     1: string organisation
     2: i64 admitted
+    // The part of it that no report named before.
+    3: i64 sinceLastReport
+}
+
+// Admissions of the fleet for an organisation in the last window, as the sender knows them.
+struct WindowUse {
+    1: string organisation
+    // What the sender itself admitted since it started.
+    2: i64 admitted
+    // Admissions that the sender may not have heard of, at most.
+    3: double assumed
+    // By age in slices of the window, the newest first.
+    4: list<i32> bySlice
 }
 
 struct Datagram {
@@ -48,6 +61,11 @@
     5: optional list<Admissions> admissions
     // Asks the receiver to name the hosts that it knows.
     6: optional bool wantsMentions
+    // Asks a host that serves what the fleet admitted in the last window.
+    7: optional bool wantsWindowUses
+    8: optional list<WindowUse> windowUses
+    // Whether the organisations that are not among them used nothing.
+    9: optional bool namesAllUses
 }
 
 // One row of a table of the store.
--- a/packages/gateway/lib/peerlink.cpp
+++ b/packages/gateway/lib/peerlink.cpp
@@ -47,6 +47,9 @@
 /// How often an entry host names those of the other failure domains to its own.
 static constexpr Duration MentionInterval = std::chrono::seconds(1);
 
+/// Organisations in one datagram; each takes up to a hundred bytes of the 64 KiB.
+static constexpr std::size_t MaxWindowUses = 500;
+
 /// Hosts that one datagram mentions.
 static constexpr std::size_t MaxMentioned = 8;
 
@@ -85,6 +88,12 @@
     return beat;
 }
 
+/// Returns a count of the wire, which has no unsigned numbers.
+static std::uint64_t unsignedOf(std::int64_t count)
+{
+    return static_cast<std::uint64_t>(std::max<std::int64_t>(0, count));
+}
+
 static std::optional<asio::ip::udp::endpoint> parseUdp(const Endpoint &endpoint)
 {
     const auto address = http::parseEndpoint(endpoint);
@@ -161,10 +170,20 @@
     if (datagram->__isset.admissions) {
         std::vector<balance::AdmissionCount> counts;
         for (const auto &entry : datagram->admissions) {
-            counts.push_back({OrganisationId(entry.organisation), static_cast<std::uint64_t>(entry.admitted)});
+            counts.push_back({OrganisationId(entry.organisation), unsignedOf(entry.admitted), unsignedOf(entry.sinceLastReport)});
         }
         this->parts.quota.onReport(record.id, record.incarnation, counts, now);
     }
+    if (datagram->__isset.windowUses) {
+        std::vector<balance::WindowUse> uses;
+        for (const auto &entry : datagram->windowUses) {
+            uses.push_back({OrganisationId(entry.organisation),
+                            unsignedOf(entry.admitted),
+                            std::max(0.0, entry.assumed),
+                            {entry.bySlice.begin(), entry.bySlice.end()}});
+        }
+        this->parts.quota.onWindowUses(record.id, record.incarnation, uses, datagram->namesAllUses, now);
+    }
     PeerStanding standing;
     standing.host = record.id;
     standing.failureDomain = record.failureDomain;
@@ -178,6 +197,9 @@
     if (datagram->wantsMentions) {
         this->mentionTo(record.peerAddress, now);
     }
+    if (datagram->wantsWindowUses && this->isServing) {
+        this->answerWindowUses(record.peerAddress, now);
+    }
 }
 
 void PeerLink::tick()
@@ -193,6 +215,9 @@
     if (now >= this->nextSearchAt) {
         this->search(now);
     }
+    if (this->isServing && this->parts.quota.needsWindowUses(now)) {
+        this->askForWindowUses(now);
+    }
     this->timer.expires_after(TickInterval);
     this->timer.async_wait([this](std::error_code error) {
         if (!error) {
@@ -346,6 +371,7 @@
         wire::Admissions entry;
         entry.organisation = count.organisation.text();
         entry.admitted = static_cast<std::int64_t>(count.admitted);
+        entry.sinceLastReport = static_cast<std::int64_t>(count.sinceLastReport);
         datagram.admissions.push_back(std::move(entry));
     }
     if (datagram.evidence.empty() && datagram.loads.empty() && datagram.admissions.empty()) {
@@ -360,6 +386,49 @@
     }
 }
 
+/// Asks a host of its own failure domain and any other, so that the answer of one that knows little is made up for.
+void PeerLink::askForWindowUses(MonotonicTime now)
+{
+    auto peers = this->parts.directory.servingPeers(now);
+    const auto &own = this->parts.directory.own().failureDomain;
+    const auto firstFar = std::partition(peers.begin(), peers.end(), [&own](const balance::HostRecord *host) {
+        return host->failureDomain == own;
+    });
+    wire::Datagram question;
+    question.sender = this->ownBeat();
+    question.__set_wantsWindowUses(true);
+    for (const auto &[first, last] : {std::pair(peers.begin(), firstFar), std::pair(firstFar, peers.end())}) {
+        if (first != last) {
+            const auto chosen = this->parts.random.below(static_cast<std::uint64_t>(last - first));
+            this->send(question, first[static_cast<std::ptrdiff_t>(chosen)]->peerAddress);
+        }
+    }
+}
+
+void PeerLink::answerWindowUses(const Endpoint &target, MonotonicTime now)
+{
+    const auto uses = this->parts.quota.windowUses(now);
+    wire::Datagram answer;
+    answer.sender = this->ownBeat();
+    answer.__isset.windowUses = true;
+    answer.__set_namesAllUses(uses.size() <= MaxWindowUses);
+    for (const auto &use : uses) {
+        wire::WindowUse entry;
+        entry.organisation = use.organisation.text();
+        entry.admitted = static_cast<std::int64_t>(use.admitted);
+        entry.assumed = use.assumed;
+        entry.bySlice.assign(use.bySlice.begin(), use.bySlice.end());
+        answer.windowUses.push_back(std::move(entry));
+        if (answer.windowUses.size() == MaxWindowUses) {
+            this->send(answer, target);
+            answer.windowUses.clear();
+        }
+    }
+    if (answer.namesAllUses || !answer.windowUses.empty()) {
+        this->send(answer, target);
+    }
+}
+
 void PeerLink::search(MonotonicTime now)
 {
     this->nextSearchAt = now + SearchInterval;
--- a/packages/gateway/lib/peerlink.h
+++ b/packages/gateway/lib/peerlink.h
@@ -62,6 +62,8 @@
     void tick();
     void beat(MonotonicTime now);
     void report(MonotonicTime now);
+    void askForWindowUses(MonotonicTime now);
+    void answerWindowUses(const Endpoint &target, MonotonicTime now);
     void search(MonotonicTime now);
     void updateStanding(MonotonicTime now);
     void logEntryHosts(MonotonicTime now);
