--- a/packages/balance/include/rhubarbtiller/balance/organisationquota.h
+++ b/packages/balance/include/rhubarbtiller/balance/organisationquota.h
@@ -5,6 +5,7 @@
 
 #include <array>
 #include <map>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -97,8 +98,8 @@
 
     /// Returns what a host that begins to serve has to know: the use of each organisation with a rate in the last window.
     ///
-    /// Precondition: \p now does not go back.
-    std::vector<WindowUse> windowUses(MonotonicTime now) const;
+    /// Unset before the first catalog. Precondition: \p now does not go back.
+    std::optional<std::vector<WindowUse>> windowUses(MonotonicTime now) const;
 
     /// Returns whether this host should ask a host that serves for its window uses. Precondition: \p now does not go back.
     bool needsWindowUses(MonotonicTime now) const;
@@ -154,6 +155,7 @@
     double heardShare = 1;
     double hosts = 1;
     bool isUrgent = false;
+    bool hasCatalog = false;
     /// Until then other hosts are asked for their window uses.
     MonotonicTime asksUntil{};
 };
--- a/packages/balance/lib/organisationquota.cpp
+++ b/packages/balance/lib/organisationquota.cpp
@@ -30,6 +30,7 @@
 void OrganisationQuota::configure(const catalog::Catalog &catalog, MonotonicTime now)
 {
     const double seconds = std::chrono::duration<double>(this->window).count();
+    this->hasCatalog = true;
     for (const auto &organisation : catalog.organisations()) {
         auto &account = this->accounts[organisation.id];
         account.ratePerSecond = organisation.rate.count();
@@ -178,8 +179,11 @@
     }
 }
 
-std::vector<WindowUse> OrganisationQuota::windowUses(MonotonicTime now) const
+std::optional<std::vector<WindowUse>> OrganisationQuota::windowUses(MonotonicTime now) const
 {
+    if (!this->hasCatalog) {
+        return std::nullopt;
+    }
     const std::int64_t number = this->sliceNumber(now);
     std::vector<WindowUse> uses;
     uses.reserve(this->accounts.size());
--- a/packages/balance/unittests/organisationquotatest.cpp
+++ b/packages/balance/unittests/organisationquotatest.cpp
@@ -227,8 +227,9 @@
         const auto now = this->clock.now();
         for (std::size_t host = 0; host < this->hosts.size() && this->steps % 10 == 0; ++host) {
             const auto other = this->random.below(this->hosts.size());
-            if (other != host && this->hosts[host].needsWindowUses(now)) {
-                this->hosts[host].onWindowUses(hostId(other), this->incarnations[other], this->hosts[other].windowUses(now), true, now);
+            const auto uses = this->hosts[other].windowUses(now);
+            if (other != host && this->hosts[host].needsWindowUses(now) && uses) {
+                this->hosts[host].onWindowUses(hostId(other), this->incarnations[other], *uses, true, now);
             }
         }
     }
@@ -328,7 +329,7 @@
     OrganisationQuota fresh(Window);
     fresh.configure(catalogWith(20, 20), clock.now());
     REQUIRE(fresh.needsWindowUses(clock.now()));
-    fresh.onWindowUses(HostId("old"), Incarnation(1), old.windowUses(clock.now()), true, clock.now());
+    fresh.onWindowUses(HostId("old"), Incarnation(1), old.windowUses(clock.now()).value(), true, clock.now());
     CHECK_FALSE(fresh.needsWindowUses(clock.now()));
     CHECK(fresh.admit(Org, clock.now()).used == doctest::Approx(50));
     // The report names what the answer held already.
@@ -357,7 +358,7 @@
     OrganisationQuota second(Window);
     first.configure(catalogWith(20, 20), clock.now());
     second.configure(catalogWith(20, 20), clock.now());
-    second.onWindowUses(HostId("first"), Incarnation(1), first.windowUses(clock.now()), true, clock.now());
+    second.onWindowUses(HostId("first"), Incarnation(1), first.windowUses(clock.now()).value(), true, clock.now());
     CHECK(second.needsWindowUses(clock.now()));
     CHECK(second.admit(Org, clock.now()).used > 100);
     clock.advance(1s);
@@ -382,3 +383,14 @@
     quota.onReport(HostId("other"), Incarnation(1), {{Org, 1000, 7}}, clock.now());
     CHECK(quota.admit(Org, clock.now()).used == doctest::Approx(7));
 }
+
+TEST_CASE("a host without a catalog does not say that nothing was used")
+{
+    testing::VirtualClock clock;
+    OrganisationQuota quota(Window);
+    CHECK_FALSE(quota.windowUses(clock.now()).has_value());
+    quota.configure(catalogWith(20, 20), clock.now());
+    const auto uses = quota.windowUses(clock.now());
+    REQUIRE(uses.has_value());
+    CHECK(uses->size() == 1);
+}
--- a/packages/gateway/lib/peerlink.cpp
+++ b/packages/gateway/lib/peerlink.cpp
@@ -408,11 +408,14 @@
 void PeerLink::answerWindowUses(const Endpoint &target, MonotonicTime now)
 {
     const auto uses = this->parts.quota.windowUses(now);
+    if (!uses) {
+        return;
+    }
     wire::Datagram answer;
     answer.sender = this->ownBeat();
     answer.__isset.windowUses = true;
-    answer.__set_namesAllUses(uses.size() <= MaxWindowUses);
-    for (const auto &use : uses) {
+    answer.__set_namesAllUses(uses->size() <= MaxWindowUses);
+    for (const auto &use : *uses) {
         wire::WindowUse entry;
         entry.organisation = use.organisation.text();
         entry.admitted = static_cast<std::int64_t>(use.admitted);
