--- a/packages/balance/include/rhubarbtiller/balance/failureestimator.h
+++ b/packages/balance/include/rhubarbtiller/balance/failureestimator.h
@@ -20,6 +20,9 @@
     Shed,
 };
 
+/// Returns whether the evidence speaks against a server. Precondition: none. Thread safety: any thread.
+bool isFailure(Evidence evidence);
+
 /// Returns the word for logs and metrics. Precondition: none. Thread safety: any thread.
 std::string_view evidenceWord(Evidence evidence);
 
--- a/packages/balance/include/rhubarbtiller/balance/hostdirectory.h
+++ b/packages/balance/include/rhubarbtiller/balance/hostdirectory.h
@@ -40,12 +40,23 @@
 class HostDirectory
 {
 public:
+    /// With \p knowsOthers false, the host waits a moment before it becomes an entry host, or for setOthersKnown().
+    ///
     /// Precondition: \p own names this host; \p entryHostsPerDomain is above 0.
-    HostDirectory(HostRecord own, unsigned entryHostsPerDomain);
+    HostDirectory(HostRecord own, unsigned entryHostsPerDomain, bool knowsOthers = true);
+
+    /// Notes a host that stands in the list of started hosts and may live. Precondition: \p now does not go back.
+    void onListed(const HostRecord &record, MonotonicTime now);
+
+    /// Notes that the whole list was read. Precondition: none.
+    void setOthersKnown();
 
     /// Takes what a host said of itself, directly. Precondition: \p now does not go back.
     void onBeat(const HostRecord &record, MonotonicTime now);
 
+    /// Returns the record of a host that was heard in this incarnation, or nullptr. Precondition: none.
+    const HostRecord *findHeard(const HostId &id, Incarnation incarnation) const;
+
     /// Notes a host that another source named; it counts as living only once it is heard.
     ///
     /// Precondition: \p now does not go back.
@@ -105,15 +116,22 @@
         /// Unset until the host was heard itself.
         MonotonicTime livesUntil{};
         MonotonicTime mentionedUntil{};
+        /// Until then a host that stands in the list may still be heard for the first time.
+        MonotonicTime listedUntil{};
         MonotonicTime forgottenAt{};
         bool isHeard = false;
     };
 
     std::vector<const HostRecord *> entryHostsIn(const FailureDomainId &domain, MonotonicTime now) const;
 
+    std::size_t unheardBefore(MonotonicTime now) const;
+
     HostRecord self;
     /// Since when the failure domain has too few entry hosts; the end of time while it has enough.
     MonotonicTime lackSince = MonotonicTime::max();
+    /// When this host may become an entry host at the earliest; the end of time until the first decision.
+    MonotonicTime mayClaimAt = MonotonicTime::max();
+    bool knowsAll;
     const unsigned perDomain;
     std::map<HostId, Known> hosts;
 };
--- a/packages/balance/include/rhubarbtiller/balance/organisationquota.h
+++ b/packages/balance/include/rhubarbtiller/balance/organisationquota.h
@@ -70,7 +70,9 @@
     /// Precondition: \p servingHosts is above 0.
     void setHeard(double share, std::size_t servingHosts);
 
-    /// Forgets what was heard: this host got no reports until now. Precondition: \p now does not go back.
+    /// Forgets what was heard: this host got no reports until now. Just after the start it only asks the others.
+    ///
+    /// Precondition: \p now does not go back.
     void assumeUnknown(MonotonicTime now);
 
     /// Admits a request or says after which time to come again. Precondition: \p now does not go back.
@@ -156,6 +158,8 @@
     double hosts = 1;
     bool isUrgent = false;
     bool hasCatalog = false;
+    /// Until then a change of role forgets nothing.
+    MonotonicTime startsUntil{};
     /// Until then other hosts are asked for their window uses.
     MonotonicTime asksUntil{};
 };
--- a/packages/balance/include/rhubarbtiller/balance/scoreboard.h
+++ b/packages/balance/include/rhubarbtiller/balance/scoreboard.h
@@ -40,6 +40,8 @@
     /// Requests that this host may send while the server is cold.
     TokenBucket coldBucket;
     bool hasColdBucket = false;
+    FailureDomainId failureDomain;
+    SlotCount slots{1};
 
     /// Returns the requests that other hosts have there. Precondition: none.
     std::uint32_t remoteOutstanding(MonotonicTime now) const;
@@ -66,6 +68,12 @@
     /// Returns the state of a server, made when it is first asked for. Precondition: none.
     ServerState &state(const BackendServerId &server);
 
+    /// Returns how many servers are known. Precondition: none.
+    std::size_t size() const
+    {
+        return this->servers.size();
+    }
+
     /// Returns the state of a server, or nullptr if none is held. Precondition: none.
     const ServerState *find(const BackendServerId &server) const;
 
@@ -99,8 +107,11 @@
         return this->isUrgent;
     }
 
-    /// Returns the servers that have requests of this host, or had some at the last call. Precondition: none.
-    std::vector<OutstandingReport> takeOutstanding();
+    /// Returns what has changed of this host's requests at servers since the last report to a failure domain.
+    ///
+    /// With \p hearsAll it is told of all servers, else of its own and of full ones. Counts are repeated before they lapse.
+    /// Precondition: \p now does not go back.
+    std::vector<OutstandingReport> takeOutstanding(const FailureDomainId &audience, bool hearsAll, MonotonicTime now);
 
     /// Forgets servers that are not in the table. Precondition: none.
     void retain(const catalog::ServerTable &table);
@@ -108,7 +119,14 @@
 private:
     std::unordered_map<BackendServerId, ServerState> servers;
     std::vector<EvidenceReport> unreported;
-    std::unordered_map<BackendServerId, std::uint32_t> reportedOutstanding;
+    struct Reported
+    {
+        std::uint32_t requests = 0;
+        MonotonicTime repeatAt{};
+    };
+
+    /// What each failure domain was told last.
+    std::map<FailureDomainId, std::unordered_map<BackendServerId, Reported>> reported;
     bool isUrgent = false;
 };
 
--- a/packages/balance/lib/failureestimator.cpp
+++ b/packages/balance/lib/failureestimator.cpp
@@ -37,6 +37,11 @@
     return 1;
 }
 
+bool isFailure(Evidence evidence)
+{
+    return evidence == Evidence::ServerError || evidence == Evidence::BrokenAnswer || evidence == Evidence::Overdue;
+}
+
 std::string_view evidenceWord(Evidence evidence)
 {
     switch (evidence) {
--- a/packages/balance/lib/hostdirectory.cpp
+++ b/packages/balance/lib/hostdirectory.cpp
@@ -16,10 +16,28 @@
 /// A mention stands for this long.
 static constexpr Duration MentionValidity = std::chrono::seconds(3);
 
+/// A host of the list that lives is heard within this time, also while a whole fleet starts.
+static constexpr Duration ListedValidity = std::chrono::seconds(3);
+
+/// Only the beats of many hosts that start at once are too many: one host is waited for of so many in the list, and at most
+/// so many, since they may be gone.
+static constexpr std::size_t ListedHostsPerWait = 8;
+static constexpr std::size_t MaxAwaitedHosts = 4;
+
+/// A host that cannot read the list becomes an entry host after this time.
+static constexpr Duration ListWait = std::chrono::milliseconds(600);
+
 /// A host that was not heard for this long is no longer sent anything.
 static constexpr Duration ForgetTime = std::chrono::seconds(60);
 
-HostDirectory::HostDirectory(HostRecord own, unsigned entryHostsPerDomain) : self(std::move(own)), perDomain(entryHostsPerDomain)
+/// Returns whether a host becomes an entry host before another one.
+static bool goesBefore(const HostRecord &left, const HostRecord &right)
+{
+    return std::tuple(right.milliCores, left.incarnation, left.id) < std::tuple(left.milliCores, right.incarnation, right.id);
+}
+
+HostDirectory::HostDirectory(HostRecord own, unsigned entryHostsPerDomain, bool knowsOthers)
+    : self(std::move(own)), knowsAll(knowsOthers), perDomain(entryHostsPerDomain)
 {
     assert(entryHostsPerDomain > 0 && "callers need an entry host in each failure domain");
 }
@@ -39,6 +57,13 @@
     known.isHeard = true;
 }
 
+const HostRecord *HostDirectory::findHeard(const HostId &id, Incarnation incarnation) const
+{
+    const auto found = this->hosts.find(id);
+    const bool isKnown = found != this->hosts.end() && found->second.isHeard && found->second.record.incarnation == incarnation;
+    return isKnown ? &found->second.record : nullptr;
+}
+
 void HostDirectory::onMentioned(const HostRecord &record, MonotonicTime now)
 {
     if (record.id == this->self.id) {
@@ -55,6 +80,19 @@
     known.mentionedUntil = now + MentionValidity;
 }
 
+void HostDirectory::onListed(const HostRecord &record, MonotonicTime now)
+{
+    this->onMentioned(record, now);
+    if (const auto found = this->hosts.find(record.id); found != this->hosts.end()) {
+        found->second.listedUntil = now + ListedValidity;
+    }
+}
+
+void HostDirectory::setOthersKnown()
+{
+    this->knowsAll = true;
+}
+
 void HostDirectory::beginLeaving()
 {
     this->self.isLeaving = true;
@@ -72,7 +110,7 @@
         }
     }
     std::sort(living.begin(), living.end(), [](const HostRecord *left, const HostRecord *right) {
-        return std::tuple(right->milliCores, left->incarnation, left->id) < std::tuple(left->milliCores, right->incarnation, right->id);
+        return goesBefore(*left, *right);
     });
     return living;
 }
@@ -98,13 +136,29 @@
     return entryHosts;
 }
 
+/// Returns how many hosts of the own failure domain are still to be heard that would go before this one.
+std::size_t HostDirectory::unheardBefore(MonotonicTime now) const
+{
+    const auto count = std::count_if(this->hosts.begin(), this->hosts.end(), [this, now](const auto &entry) {
+        const auto &known = entry.second;
+        return !known.isHeard && now < known.listedUntil && known.record.failureDomain == this->self.failureDomain
+            && goesBefore(known.record, this->self);
+    });
+    return std::min(static_cast<std::size_t>(count) / ListedHostsPerWait, MaxAwaitedHosts);
+}
+
 void HostDirectory::updateClaim(MonotonicTime now)
 {
     if (this->self.isLeaving) {
         return;
     }
+    // Without knowing the others, all hosts of a starting fleet would become entry hosts at once.
+    this->mayClaimAt = std::min(this->mayClaimAt, now + ListWait);
+    if (!this->knowsAll && now < this->mayClaimAt) {
+        return;
+    }
     std::size_t entryHostsBefore = 0;
-    std::size_t standbyHostsBefore = 0;
+    std::size_t standbyHostsBefore = this->unheardBefore(now);
     for (const auto *const host : this->livingHosts(this->self.failureDomain, now)) {
         if (host == &this->self) {
             break;
--- a/packages/balance/lib/organisationquota.cpp
+++ b/packages/balance/lib/organisationquota.cpp
@@ -13,6 +13,9 @@
 /// A process needs this long from the end of an earlier one, which admits nothing meanwhile.
 static constexpr Duration StartTime = std::chrono::milliseconds(500);
 
+/// The roles of the hosts of a starting fleet change a few times in this time.
+static constexpr Duration StartPhase = std::chrono::seconds(1);
+
 /// Other hosts hear at once of admissions when less than this part of the limit is left.
 static constexpr double UrgentPart = 0.3;
 
@@ -30,7 +33,9 @@
 void OrganisationQuota::configure(const catalog::Catalog &catalog, MonotonicTime now)
 {
     const double seconds = std::chrono::duration<double>(this->window).count();
-    this->hasCatalog = true;
+    if (!std::exchange(this->hasCatalog, true)) {
+        this->startsUntil = now + StartPhase;
+    }
     for (const auto &organisation : catalog.organisations()) {
         auto &account = this->accounts[organisation.id];
         account.ratePerSecond = organisation.rate.count();
@@ -52,12 +57,16 @@
 
 void OrganisationQuota::assumeUnknown(MonotonicTime now)
 {
+    this->asksUntil = now + AskTime;
+    // What is assumed since the start holds; the answers of others add what they admitted meanwhile.
+    if (now < this->startsUntil) {
+        return;
+    }
     this->remotes.clear();
     for (auto &[id, account] : this->accounts) {
         account.slices = {};
         assume(account, account.limit, now);
     }
-    this->asksUntil = now + AskTime;
 }
 
 void OrganisationQuota::assume(Account &account, double admissions, MonotonicTime now)
--- a/packages/balance/lib/scoreboard.cpp
+++ b/packages/balance/lib/scoreboard.cpp
@@ -7,6 +7,9 @@
 /// A host repeats its counts several times in this time; older ones no longer hold.
 static constexpr Duration OutstandingValidity = std::chrono::milliseconds(1200);
 
+/// Unchanged counts are repeated so often that two datagrams may be lost.
+static constexpr Duration OutstandingRepeat = std::chrono::milliseconds(400);
+
 /// The pause after a failed connection; it doubles with each further failure.
 static constexpr Duration FirstConnectBackoff = std::chrono::milliseconds(400);
 static constexpr unsigned MaxBackoffDoublings = 2;
@@ -111,19 +114,34 @@
     return std::exchange(this->unreported, {});
 }
 
-std::vector<OutstandingReport> Scoreboard::takeOutstanding()
+std::vector<OutstandingReport> Scoreboard::takeOutstanding(const FailureDomainId &audience, bool hearsAll, MonotonicTime now)
 {
     std::vector<OutstandingReport> reports;
-    std::unordered_map<BackendServerId, std::uint32_t> current;
+    auto &told = this->reported[audience];
     for (const auto &[id, state] : this->servers) {
-        if (state.ownOutstanding > 0) {
-            reports.push_back({id, state.ownOutstanding});
-            current.emplace(id, state.ownOutstanding);
-        } else if (this->reportedOutstanding.contains(id)) {
-            reports.push_back({id, 0});
+        const auto before = told.find(id);
+        if (state.ownOutstanding == 0 && before == told.end()) {
+            continue;
+        }
+        const bool isConcerned
+            = hearsAll || state.failureDomain == audience || state.ownOutstanding + state.remoteOutstanding(now) >= state.slots.count();
+        const auto requests = isConcerned ? state.ownOutstanding : 0;
+        const bool isNews = requests != (before == told.end() ? 0 : before->second.requests);
+        const bool isDue = requests > 0 && before != told.end() && now >= before->second.repeatAt;
+        if (!isNews && !isDue) {
+            continue;
+        }
+        reports.push_back({id, requests});
+        if (requests == 0) {
+            told.erase(id);
+        } else {
+            told[id] = {requests, now + OutstandingRepeat};
         }
     }
-    this->reportedOutstanding = std::move(current);
+    // Servers that left the table are forgotten everywhere.
+    std::erase_if(told, [this](const auto &entry) {
+        return !this->servers.contains(entry.first);
+    });
     return reports;
 }
 
@@ -135,6 +153,8 @@
         if (const auto found = this->servers.find(entry.id); found != this->servers.end()) {
             state = std::move(found->second);
         }
+        state.failureDomain = entry.failureDomain;
+        state.slots = entry.slots;
     }
     this->servers = std::move(kept);
 }
--- a/packages/balance/unittests/hostdirectorytest.cpp
+++ b/packages/balance/unittests/hostdirectorytest.cpp
@@ -192,3 +192,69 @@
     directory.updateClaim(clock.now());
     CHECK(directory.isEntryHost());
 }
+
+// Guards against a starting fleet whose hosts all become entry hosts and send each other beats, a number that grows with
+// the square of the fleet.
+TEST_CASE("a host that starts waits for those of the list that go before it")
+{
+    testing::VirtualClock clock;
+    clock.advance(1h);
+    HostDirectory directory(record("own", "a", 30), 1, false);
+    directory.updateClaim(clock.now());
+    CHECK_FALSE(directory.isEntryHost());
+    for (int i = 0; i < 10; ++i) {
+        directory.onListed(record("older" + std::to_string(i), "a", 10), clock.now());
+    }
+    directory.onListed(record("newer", "a", 50), clock.now());
+    directory.onListed(record("elsewhere", "b", 10), clock.now());
+    directory.setOthersKnown();
+    directory.updateClaim(clock.now());
+    CHECK_FALSE(directory.isEntryHost());
+    clock.advance(100ms);
+    directory.onBeat(entryRecord("older0", "a", 40), clock.now());
+    directory.onBeat(entryRecord("newer", "a", 20), clock.now());
+    directory.updateClaim(clock.now());
+    CHECK_FALSE(directory.isEntryHost());
+}
+
+TEST_CASE("in a small failure domain a host that starts does not wait for others")
+{
+    testing::VirtualClock clock;
+    clock.advance(1h);
+    HostDirectory directory(record("own", "a", 30), 2, false);
+    directory.onListed(record("older", "a", 10), clock.now());
+    directory.setOthersKnown();
+    directory.updateClaim(clock.now());
+    CHECK(directory.isEntryHost());
+}
+
+TEST_CASE("a host that starts among hosts that are gone becomes an entry host within a second")
+{
+    testing::VirtualClock clock;
+    clock.advance(1h);
+    HostDirectory directory(record("own", "a", 300), 2, false);
+    for (int i = 0; i < 100; ++i) {
+        directory.onListed(record("gone" + std::to_string(i), "a", 10), clock.now());
+    }
+    directory.setOthersKnown();
+    const auto startedAt = clock.now();
+    while (!directory.isEntryHost() && clock.now() - startedAt < 5s) {
+        directory.updateClaim(clock.now());
+        clock.advance(50ms);
+    }
+    CHECK(clock.now() - startedAt <= 1s);
+}
+
+TEST_CASE("a host that cannot read the list becomes an entry host all the same")
+{
+    testing::VirtualClock clock;
+    clock.advance(1h);
+    HostDirectory directory(record("own", "a", 300), 2, false);
+    directory.updateClaim(clock.now());
+    clock.advance(300ms);
+    directory.updateClaim(clock.now());
+    CHECK_FALSE(directory.isEntryHost());
+    clock.advance(400ms);
+    directory.updateClaim(clock.now());
+    CHECK(directory.isEntryHost());
+}
--- a/packages/balance/unittests/organisationquotatest.cpp
+++ b/packages/balance/unittests/organisationquotatest.cpp
@@ -394,3 +394,17 @@
     REQUIRE(uses.has_value());
     CHECK(uses->size() == 1);
 }
+
+TEST_CASE("a change of role just after the start keeps the time that the process needed to start")
+{
+    testing::VirtualClock clock;
+    OrganisationQuota quota(Window);
+    quota.configure(catalogWith(20, 20), clock.now());
+    clock.advance(100ms);
+    quota.assumeUnknown(clock.now());
+    CHECK(quota.needsWindowUses(clock.now()));
+    CHECK(quota.admit(Org, clock.now()).used == doctest::Approx(108));
+    clock.advance(2s);
+    quota.assumeUnknown(clock.now());
+    CHECK(quota.admit(Org, clock.now()).used == doctest::Approx(120));
+}
--- a/packages/gateway/fleet.thrift
+++ b/packages/gateway/fleet.thrift
@@ -24,6 +24,19 @@
     14: i32 milliCores
 }
 
+// What changes of a host between two beats; its addresses are known from a beat of the same incarnation.
+struct HostBrief {
+    1: string host
+    2: i64 incarnation
+    3: bool isLeaving
+    4: bool isServing
+    5: bool isEntry
+    6: i32 beatIntervalMs
+    7: i64 configurationVersion
+    8: i64 serversVersion
+    9: i32 storeContactAgeMs
+}
+
 struct ServerEvidence {
     1: string server
     2: i8 evidence
@@ -53,7 +66,7 @@
 }
 
 struct Datagram {
-    1: HostBeat sender
+    1: optional HostBeat sender
     // Hosts that the receiver may not know.
     2: optional list<HostBeat> mentioned
     3: optional list<ServerEvidence> evidence
@@ -66,6 +79,8 @@
     8: optional list<WindowUse> windowUses
     // Whether the organisations that are not among them used nothing.
     9: optional bool namesAllUses
+    // Stands for the sender's beat in datagrams that are sent often.
+    10: optional HostBrief brief
 }
 
 // One row of a table of the store.
--- a/packages/gateway/lib/gatewayprocess.cpp
+++ b/packages/gateway/lib/gatewayprocess.cpp
@@ -205,7 +205,7 @@
     , spans(settings.spanOutput.empty() ? nullptr : telemetry::makeJsonLinesExporter(settings.spanOutput))
     , storeClient(http::makeCurlHttpClient(controlContext, clock))
     , platform(factory(settings, *storeClient, clock))
-    , directory(ownRecord(settings, clock), settings.entryHostsPerDomain)
+    , directory(ownRecord(settings, clock), settings.entryHostsPerDomain, false)
     , quota(settings.quotaWindow)
     , retries(settings.retryBudget)
     , backend(makeBackendClient(servingContext, clock, *platform.dialect))
@@ -367,8 +367,9 @@
         }
         asio::post(this->serving, [this, records = std::move(records)] {
             for (const auto &record : records) {
-                this->directory.onMentioned(record, this->clock.now());
+                this->directory.onListed(record, this->clock.now());
             }
+            this->directory.setOthersKnown();
             this->link.announce();
         });
     });
--- a/packages/gateway/lib/peerlink.cpp
+++ b/packages/gateway/lib/peerlink.cpp
@@ -47,8 +47,8 @@
 /// How often an entry host names those of the other failure domains to its own.
 static constexpr Duration MentionInterval = std::chrono::seconds(1);
 
-/// Organisations in one datagram; each takes up to a hundred bytes of the 64 KiB.
-static constexpr std::size_t MaxWindowUses = 500;
+/// Of so many beats to another failure domain, one names the addresses of this host.
+static constexpr unsigned BeatsPerAddress = 4;
 
 /// Hosts that one datagram mentions.
 static constexpr std::size_t MaxMentioned = 8;
@@ -88,19 +88,17 @@
     return beat;
 }
 
-/// Returns a count of the wire, which has no unsigned numbers.
-static std::uint64_t unsignedOf(std::int64_t count)
-{
-    return static_cast<std::uint64_t>(std::max<std::int64_t>(0, count));
-}
-
 static std::optional<asio::ip::udp::endpoint> parseUdp(const Endpoint &endpoint)
 {
     const auto address = http::parseEndpoint(endpoint);
     return address ? std::optional(asio::ip::udp::endpoint(address->address(), address->port())) : std::nullopt;
 }
 
-PeerLink::PeerLink(Parts linkParts) : parts(std::move(linkParts)), socket(parts.context), timer(parts.context)
+PeerLink::PeerLink(Parts linkParts)
+    : parts(std::move(linkParts))
+    , reports(parts.board, parts.quota, parts.directory.own().failureDomain)
+    , socket(parts.context)
+    , timer(parts.context)
 {
 }
 
@@ -151,7 +149,13 @@
         return;
     }
     const auto now = this->parts.clock.now();
-    const auto record = recordOf(datagram->sender);
+    this->reports.onAdmissions(*datagram, now);
+    const auto senderBeat = this->senderOf(*datagram);
+    if (!senderBeat) {
+        // The next beat with addresses makes the sender known.
+        return;
+    }
+    const auto record = recordOf(*senderBeat);
     this->parts.directory.onBeat(record, now);
     for (const auto &mentioned : datagram->mentioned) {
         this->parts.directory.onMentioned(recordOf(mentioned), now);
@@ -166,32 +170,17 @@
             loads.push_back({BackendServerId(entry.server), static_cast<std::uint32_t>(std::max(0, entry.outstanding))});
         }
         this->parts.board.onRemote(record.id, evidence, loads, now);
+        this->reports.onLoads(record.failureDomain, loads, now);
     }
-    if (datagram->__isset.admissions) {
-        std::vector<balance::AdmissionCount> counts;
-        for (const auto &entry : datagram->admissions) {
-            counts.push_back({OrganisationId(entry.organisation), unsignedOf(entry.admitted), unsignedOf(entry.sinceLastReport)});
-        }
-        this->parts.quota.onReport(record.id, record.incarnation, counts, now);
-    }
-    if (datagram->__isset.windowUses) {
-        std::vector<balance::WindowUse> uses;
-        for (const auto &entry : datagram->windowUses) {
-            uses.push_back({OrganisationId(entry.organisation),
-                            unsignedOf(entry.admitted),
-                            std::max(0.0, entry.assumed),
-                            {entry.bySlice.begin(), entry.bySlice.end()}});
-        }
-        this->parts.quota.onWindowUses(record.id, record.incarnation, uses, datagram->namesAllUses, now);
-    }
+    this->reports.onWindowUses(*datagram, record, now);
     PeerStanding standing;
     standing.host = record.id;
     standing.failureDomain = record.failureDomain;
     standing.controlAddress = record.controlAddress;
-    standing.configurationVersion = static_cast<std::uint64_t>(datagram->sender.configurationVersion);
-    standing.serversVersion = static_cast<std::uint64_t>(datagram->sender.serversVersion);
-    if (datagram->sender.storeContactAgeMs >= 0) {
-        standing.storeContactAge = milliseconds(datagram->sender.storeContactAgeMs);
+    standing.configurationVersion = static_cast<std::uint64_t>(senderBeat->configurationVersion);
+    standing.serversVersion = static_cast<std::uint64_t>(senderBeat->serversVersion);
+    if (senderBeat->storeContactAgeMs >= 0) {
+        standing.storeContactAge = milliseconds(senderBeat->storeContactAgeMs);
     }
     this->parts.onStanding(standing);
     if (datagram->wantsMentions) {
@@ -202,6 +191,29 @@
     }
 }
 
+/// Returns the sender's beat; that of a brief is completed from what the sender said before.
+std::optional<wire::HostBeat> PeerLink::senderOf(const wire::Datagram &datagram) const
+{
+    if (datagram.__isset.sender) {
+        return datagram.sender;
+    }
+    const auto &brief = datagram.brief;
+    const auto *const known
+        = this->parts.directory.findHeard(HostId(brief.host), Incarnation(static_cast<std::uint64_t>(brief.incarnation)));
+    if (!datagram.__isset.brief || known == nullptr) {
+        return std::nullopt;
+    }
+    auto beat = beatOf(*known);
+    beat.isLeaving = brief.isLeaving;
+    beat.isServing = brief.isServing;
+    beat.isEntry = brief.isEntry;
+    beat.beatIntervalMs = brief.beatIntervalMs;
+    beat.configurationVersion = brief.configurationVersion;
+    beat.serversVersion = brief.serversVersion;
+    beat.storeContactAgeMs = brief.storeContactAgeMs;
+    return beat;
+}
+
 void PeerLink::tick()
 {
     const auto now = this->parts.clock.now();
@@ -301,10 +313,26 @@
     return beat;
 }
 
+wire::HostBrief PeerLink::ownBrief() const
+{
+    const auto beat = this->ownBeat();
+    wire::HostBrief brief;
+    brief.host = beat.host;
+    brief.incarnation = beat.incarnation;
+    brief.isLeaving = beat.isLeaving;
+    brief.isServing = beat.isServing;
+    brief.isEntry = beat.isEntry;
+    brief.beatIntervalMs = beat.beatIntervalMs;
+    brief.configurationVersion = beat.configurationVersion;
+    brief.serversVersion = beat.serversVersion;
+    brief.storeContactAgeMs = beat.storeContactAgeMs;
+    return brief;
+}
+
 void PeerLink::beat(MonotonicTime now)
 {
     wire::Datagram datagram;
-    datagram.sender = this->ownBeat();
+    datagram.__set_sender(this->ownBeat());
     const milliseconds interval(datagram.sender.beatIntervalMs);
     this->nextBeatAt = now + interval;
     const auto &own = this->parts.directory.own();
@@ -320,6 +348,12 @@
     if (!this->isServing && !own.isLeaving) {
         return;
     }
+    // Bytes between failure domains are paid for.
+    const bool namesAddresses = datagram.__isset.mentioned || this->briefBeats++ % BeatsPerAddress == 0;
+    if (!namesAddresses) {
+        datagram.__isset.sender = false;
+        datagram.__set_brief(this->ownBrief());
+    }
     for (const auto *const host : this->parts.directory.servingPeers(now)) {
         if (host->failureDomain != own.failureDomain) {
             this->send(datagram, host->peerAddress);
@@ -354,35 +388,19 @@
 void PeerLink::report(MonotonicTime now)
 {
     this->nextReportAt = now + ReportInterval;
-    wire::Datagram datagram;
-    for (const auto &report : this->parts.board.takeEvidence()) {
-        wire::ServerEvidence entry;
-        entry.server = report.server.text();
-        entry.evidence = static_cast<std::int8_t>(report.evidence);
-        datagram.evidence.push_back(std::move(entry));
-    }
-    for (const auto &report : this->parts.board.takeOutstanding()) {
-        wire::ServerLoad entry;
-        entry.server = report.server.text();
-        entry.outstanding = static_cast<std::int32_t>(report.requests);
-        datagram.loads.push_back(std::move(entry));
-    }
-    for (const auto &count : this->parts.quota.takeReport()) {
-        wire::Admissions entry;
-        entry.organisation = count.organisation.text();
-        entry.admitted = static_cast<std::int64_t>(count.admitted);
-        entry.sinceLastReport = static_cast<std::int64_t>(count.sinceLastReport);
-        datagram.admissions.push_back(std::move(entry));
-    }
-    if (datagram.evidence.empty() && datagram.loads.empty() && datagram.admissions.empty()) {
-        return;
-    }
-    datagram.__isset.evidence = !datagram.evidence.empty();
-    datagram.__isset.loads = !datagram.loads.empty();
-    datagram.__isset.admissions = !datagram.admissions.empty();
-    datagram.sender = this->ownBeat();
+    this->reports.collect(now);
+    std::map<FailureDomainId, std::optional<wire::Datagram>> composed;
     for (const auto *const host : this->parts.directory.servingPeers(now)) {
-        this->send(datagram, host->peerAddress);
+        auto found = composed.find(host->failureDomain);
+        if (found == composed.end()) {
+            found = composed.emplace(host->failureDomain, this->reports.compose(host->failureDomain, now)).first;
+            if (found->second) {
+                found->second->__set_brief(this->ownBrief());
+            }
+        }
+        if (found->second) {
+            this->send(*found->second, host->peerAddress);
+        }
     }
 }
 
@@ -395,7 +413,7 @@
         return host->failureDomain == own;
     });
     wire::Datagram question;
-    question.sender = this->ownBeat();
+    question.__set_sender(this->ownBeat());
     question.__set_wantsWindowUses(true);
     for (const auto &[first, last] : {std::pair(peers.begin(), firstFar), std::pair(firstFar, peers.end())}) {
         if (first != last) {
@@ -407,27 +425,8 @@
 
 void PeerLink::answerWindowUses(const Endpoint &target, MonotonicTime now)
 {
-    const auto uses = this->parts.quota.windowUses(now);
-    if (!uses) {
-        return;
-    }
-    wire::Datagram answer;
-    answer.sender = this->ownBeat();
-    answer.__isset.windowUses = true;
-    answer.__set_namesAllUses(uses->size() <= MaxWindowUses);
-    for (const auto &use : *uses) {
-        wire::WindowUse entry;
-        entry.organisation = use.organisation.text();
-        entry.admitted = static_cast<std::int64_t>(use.admitted);
-        entry.assumed = use.assumed;
-        entry.bySlice.assign(use.bySlice.begin(), use.bySlice.end());
-        answer.windowUses.push_back(std::move(entry));
-        if (answer.windowUses.size() == MaxWindowUses) {
-            this->send(answer, target);
-            answer.windowUses.clear();
-        }
-    }
-    if (answer.namesAllUses || !answer.windowUses.empty()) {
+    for (auto &answer : this->reports.composeWindowUses(now)) {
+        answer.__set_sender(this->ownBeat());
         this->send(answer, target);
     }
 }
@@ -437,7 +436,7 @@
     this->nextSearchAt = now + SearchInterval;
     auto &directory = this->parts.directory;
     wire::Datagram question;
-    question.sender = this->ownBeat();
+    question.__set_sender(this->ownBeat());
     question.__set_wantsMentions(true);
     const auto known = directory.knownHosts(now);
     for (const auto &domain : this->parts.failureDomains) {
@@ -475,7 +474,7 @@
 void PeerLink::mentionTo(const Endpoint &target, MonotonicTime now)
 {
     wire::Datagram answer;
-    answer.sender = this->ownBeat();
+    answer.__set_sender(this->ownBeat());
     this->addMentions(answer, now);
     this->send(answer, target);
 }
--- a/packages/gateway/lib/peerlink.h
+++ b/packages/gateway/lib/peerlink.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "peerreports.h"
 #include "statesync.h"
 
 #include <rhubarbtiller/balance/hostdirectory.h>
@@ -59,6 +60,8 @@
 private:
     void receive();
     void onDatagram(std::string_view bytes, const asio::ip::udp::endpoint &from);
+    std::optional<wire::HostBeat> senderOf(const wire::Datagram &datagram) const;
+    wire::HostBrief ownBrief() const;
     void tick();
     void beat(MonotonicTime now);
     void report(MonotonicTime now);
@@ -72,6 +75,7 @@
     void mentionTo(const Endpoint &target, MonotonicTime now);
 
     Parts parts;
+    PeerReports reports;
     asio::ip::udp::socket socket;
     asio::steady_timer timer;
     asio::ip::udp::endpoint sender;
@@ -81,6 +85,8 @@
     MonotonicTime nextSearchAt{};
     MonotonicTime lastUrgentAt{};
     MonotonicTime nextMentionAt{};
+    /// Beats since the last one that named this host's addresses to other failure domains.
+    unsigned briefBeats = 0;
     bool isEntryHost = false;
     std::string loggedEntryHosts;
     bool isServing = false;
--- /dev/null
+++ b/packages/gateway/unittests/peerreportstest.cpp
@@ -0,0 +1,234 @@
+#include "peerreports.h"
+
+#include <rhubarbtiller/testing/virtualclock.h>
+
+#include <doctest/doctest.h>
+
+using namespace rhubarbtiller;
+using namespace rhubarbtiller::gateway;
+using namespace std::chrono_literals;
+using balance::Evidence;
+
+static const FailureDomainId Own("a");
+static const FailureDomainId Other("b");
+
+namespace {
+
+/// Two servers of the own failure domain and one of another one that matter, among many, with two slots each.
+class ReportFixture
+{
+public:
+    explicit ReportFixture(int others = 500)
+    {
+        std::vector<catalog::ServerEntry> entries;
+        for (const auto &[id, domain] : {std::pair("s1", Own), std::pair("s2", Own), std::pair("s3", Other)}) {
+            catalog::ServerEntry entry;
+            entry.id = BackendServerId(id);
+            entry.failureDomain = domain;
+            entry.slots = SlotCount(2);
+            entries.push_back(entry);
+        }
+        for (int i = 0; i < others; ++i) {
+            catalog::ServerEntry entry;
+            entry.id = BackendServerId("other" + std::to_string(i));
+            entry.failureDomain = Own;
+            entries.push_back(entry);
+        }
+        this->board.retain(catalog::ServerTable(entries));
+        this->clock.advance(1h);
+    }
+
+    void send(const char *server)
+    {
+        this->board.onSent(BackendServerId(server), this->clock.now());
+    }
+
+    void finish(const char *server)
+    {
+        this->board.onFinished(BackendServerId(server));
+    }
+
+    testing::VirtualClock clock;
+    balance::Scoreboard board;
+    balance::OrganisationQuota quota{5s};
+    PeerReports reports{this->board, this->quota, Own};
+};
+
+} // namespace
+
+static std::vector<std::string> serversIn(const std::optional<wire::Datagram> &datagram)
+{
+    std::vector<std::string> servers;
+    if (datagram) {
+        for (const auto &load : datagram->loads) {
+            servers.push_back(load.server + "=" + std::to_string(load.outstanding));
+        }
+        for (const auto &entry : datagram->evidence) {
+            servers.push_back(entry.server + ":" + std::string(balance::evidenceWord(static_cast<Evidence>(entry.evidence))));
+        }
+    }
+    std::sort(servers.begin(), servers.end());
+    return servers;
+}
+
+using Texts = std::vector<std::string>;
+
+TEST_CASE("other failure domains hear of failures, of their servers and of full ones")
+{
+    ReportFixture fixture;
+    fixture.send("s1");
+    fixture.send("s2");
+    fixture.send("s2");
+    fixture.send("s3");
+    const auto now = fixture.clock.now();
+    fixture.board.observe(BackendServerId("s1"), Evidence::Success, now);
+    fixture.board.observe(BackendServerId("s2"), Evidence::BrokenAnswer, now);
+    fixture.board.observe(BackendServerId("s3"), Evidence::Success, now);
+    fixture.reports.collect(now);
+    CHECK(serversIn(fixture.reports.compose(Own, now)) == Texts{"s1:success", "s1=1", "s2:broken_answer", "s2=2", "s3:success", "s3=1"});
+    CHECK(serversIn(fixture.reports.compose(Other, now)) == Texts{"s2:broken_answer", "s2=2", "s3:success", "s3=1"});
+}
+
+TEST_CASE("a failure domain that uses servers of this one hears everything for a while")
+{
+    ReportFixture fixture;
+    fixture.reports.onLoads(Other, {{BackendServerId("s1"), 1}}, fixture.clock.now());
+    fixture.send("s2");
+    fixture.board.observe(BackendServerId("s2"), Evidence::Success, fixture.clock.now());
+    fixture.reports.collect(fixture.clock.now());
+    CHECK(serversIn(fixture.reports.compose(Other, fixture.clock.now())) == Texts{"s2:success", "s2=1"});
+    fixture.clock.advance(3s);
+    // Its requests to its own servers do not concern this domain.
+    fixture.reports.onLoads(Other, {{BackendServerId("s3"), 1}}, fixture.clock.now());
+    fixture.reports.collect(fixture.clock.now());
+    CHECK(serversIn(fixture.reports.compose(Other, fixture.clock.now())) == Texts{"s2=0"});
+}
+
+TEST_CASE("in a fleet with few servers all hosts hear everything")
+{
+    ReportFixture fixture(10);
+    fixture.send("s1");
+    fixture.board.observe(BackendServerId("s2"), Evidence::Success, fixture.clock.now());
+    fixture.reports.collect(fixture.clock.now());
+    CHECK(serversIn(fixture.reports.compose(Other, fixture.clock.now())) == Texts{"s1=1", "s2:success"});
+}
+
+TEST_CASE("a server that is full over all hosts is reported, and again when it has room")
+{
+    ReportFixture fixture;
+    fixture.send("s1");
+    const auto now = fixture.clock.now();
+    fixture.reports.collect(now);
+    CHECK_FALSE(fixture.reports.compose(Other, now));
+    fixture.board.onRemote(HostId("peer"), {}, {{BackendServerId("s1"), 1}}, now);
+    fixture.reports.collect(now);
+    CHECK(serversIn(fixture.reports.compose(Other, now)) == Texts{"s1=1"});
+    fixture.board.onRemote(HostId("peer"), {}, {{BackendServerId("s1"), 0}}, now);
+    fixture.reports.collect(now);
+    CHECK(serversIn(fixture.reports.compose(Other, now)) == Texts{"s1=0"});
+}
+
+TEST_CASE("what did not change is repeated only before it lapses at the receiver")
+{
+    ReportFixture fixture;
+    fixture.send("s1");
+    fixture.reports.collect(fixture.clock.now());
+    CHECK(fixture.reports.compose(Own, fixture.clock.now()));
+    fixture.clock.advance(150ms);
+    fixture.reports.collect(fixture.clock.now());
+    CHECK_FALSE(fixture.reports.compose(Own, fixture.clock.now()));
+    fixture.clock.advance(300ms);
+    fixture.reports.collect(fixture.clock.now());
+    CHECK(serversIn(fixture.reports.compose(Own, fixture.clock.now())) == Texts{"s1=1"});
+    fixture.finish("s1");
+    fixture.reports.collect(fixture.clock.now());
+    CHECK(serversIn(fixture.reports.compose(Own, fixture.clock.now())) == Texts{"s1=0"});
+}
+
+TEST_CASE("admissions keep their interval unless an organisation is close to its limit")
+{
+    ReportFixture fixture;
+    catalog::CatalogParts parts;
+    parts.organisations.push_back({OrganisationId("org"), {}, RequestRate(10), RequestCount(0)});
+    fixture.quota.configure(catalog::Catalog(std::move(parts)), fixture.clock.now() - 1h);
+    const auto admitsAndReports = [&fixture](int admissions) {
+        for (int i = 0; i < admissions; ++i) {
+            fixture.quota.admit(OrganisationId("org"), fixture.clock.now());
+        }
+        fixture.reports.collect(fixture.clock.now());
+        const auto datagram = fixture.reports.compose(Other, fixture.clock.now());
+        return datagram && datagram->__isset.admissions;
+    };
+    CHECK(admitsAndReports(1));
+    fixture.clock.advance(100ms);
+    CHECK_FALSE(admitsAndReports(1));
+    fixture.clock.advance(250ms);
+    CHECK(admitsAndReports(1));
+    fixture.clock.advance(50ms);
+    CHECK(admitsAndReports(40));
+}
+
+static catalog::Catalog catalogWith(const std::vector<std::string> &organisations)
+{
+    catalog::CatalogParts parts;
+    for (const auto &id : organisations) {
+        parts.organisations.push_back({OrganisationId(id), {}, RequestRate(10), RequestCount(10)});
+    }
+    return catalog::Catalog(std::move(parts));
+}
+
+TEST_CASE("admissions of a host whose addresses are not known yet count")
+{
+    ReportFixture fixture;
+    fixture.quota.configure(catalogWith({"org"}), fixture.clock.now());
+    fixture.clock.advance(10s);
+    wire::Datagram report;
+    wire::HostBrief brief;
+    brief.host = "unknown";
+    brief.incarnation = 7;
+    report.__set_brief(brief);
+    wire::Admissions admissions;
+    admissions.organisation = "org";
+    admissions.admitted = 40;
+    admissions.sinceLastReport = 4;
+    report.__set_admissions({admissions});
+    fixture.reports.onAdmissions(report, fixture.clock.now());
+    CHECK(fixture.quota.admit(OrganisationId("org"), fixture.clock.now()).used == doctest::Approx(4));
+}
+
+TEST_CASE("window uses pass from one host to another")
+{
+    ReportFixture old;
+    CHECK(old.reports.composeWindowUses(old.clock.now()).empty());
+    old.quota.configure(catalogWith({"org", "idle"}), old.clock.now());
+    old.clock.advance(10s);
+    for (int i = 0; i < 30; ++i) {
+        old.quota.admit(OrganisationId("org"), old.clock.now());
+        old.quota.takeReport();
+    }
+    const auto answers = old.reports.composeWindowUses(old.clock.now());
+    REQUIRE(answers.size() == 1);
+    CHECK(answers.front().namesAllUses);
+    CHECK(answers.front().windowUses.size() == 1);
+    ReportFixture fresh;
+    fresh.quota.configure(catalogWith({"org", "idle"}), fresh.clock.now());
+    fresh.reports.onWindowUses(answers.front(), {}, fresh.clock.now());
+    CHECK(fresh.quota.admit(OrganisationId("org"), fresh.clock.now()).used == doctest::Approx(30));
+    CHECK(fresh.quota.admit(OrganisationId("idle"), fresh.clock.now()).used == doctest::Approx(0));
+}
+
+TEST_CASE("many window uses take several datagrams, none of which is complete")
+{
+    ReportFixture fixture;
+    std::vector<std::string> organisations;
+    for (int i = 0; i < 1200; ++i) {
+        organisations.push_back("org" + std::to_string(i));
+    }
+    fixture.quota.configure(catalogWith(organisations), fixture.clock.now());
+    const auto answers = fixture.reports.composeWindowUses(fixture.clock.now());
+    REQUIRE(answers.size() == 3);
+    for (const auto &answer : answers) {
+        CHECK_FALSE(answer.namesAllUses);
+        CHECK(answer.windowUses.size() <= 500);
+    }
+}
