--- a/packages/gateway/unittests/peerreportstest.cpp
+++ b/packages/gateway/unittests/peerreportstest.cpp
@@ -221,6 +221,7 @@
 {
     ReportFixture fixture;
     std::vector<std::string> organisations;
+    organisations.reserve(1200);
     for (int i = 0; i < 1200; ++i) {
         organisations.push_back("org" + std::to_string(i));
     }
