Drop datagrams without a sender, log learned window uses, remove two fields that nothing reads

Cause, from reading the diff: a datagram with neither beat nor brief had its admissions counted under an empty name; a host that took over the use of the window wrote no line. Route::latencyObjective and Service::maxConnections were decoded and never read. Change: such datagrams are logged as malformed and dropped where all datagrams enter; window_uses_learned names host, count and completeness. Test fixtures lose the value of the removed field; no expectation changes. Measured: unit tests of gateway, balance, platform and catalog pass; the new case needs the new check. No change of decisions on well-formed input.

--- a/packages/balance/unittests/placementtest.cpp
+++ b/packages/balance/unittests/placementtest.cpp
@@ -22,7 +22,7 @@
     explicit PlacementFixture(int servers, const std::string &domain = "a")
     {
         catalog::CatalogParts parts;
-        parts.services.push_back({Service, SlotCount(100), RequestRate(2)});
+        parts.services.push_back({Service, RequestRate(2)});
         this->fleet.catalog = std::make_shared<catalog::Catalog>(std::move(parts));
         for (int i = 0; i < servers; ++i) {
             catalog::ServerEntry entry;
--- a/packages/catalog/include/rhubarbtiller/catalog/catalog.h
+++ b/packages/catalog/include/rhubarbtiller/catalog/catalog.h
@@ -39,8 +39,6 @@
     Repeatability repeatability = Repeatability::AtMostOnce;
     /// How long a caller is kept waiting at most.
     Duration timeLimit{};
-    /// An answer within this time has its full value.
-    Duration latencyObjective{};
     /// 0 is served first.
     int priority = 0;
     std::vector<ServiceShare> shares;
@@ -54,7 +52,6 @@
 struct Service
 {
     ServiceName name;
-    SlotCount maxConnections;
     /// Requests a second that a cold server tolerates.
     RequestRate coldRate;
 };
--- a/packages/catalog/unittests/catalogtest.cpp
+++ b/packages/catalog/unittests/catalogtest.cpp
@@ -23,7 +23,7 @@
                     route("deep", "a.example", "/x/y/"),
                     route("short", "a.example", "/x/"),
                     route("other", "b.example", "/x/")};
-    parts.services.push_back({ServiceName("service"), SlotCount(10), RequestRate(2)});
+    parts.services.push_back({ServiceName("service"), RequestRate(2)});
     parts.organisations.push_back({OrganisationId("org"), 1, RequestRate(5), RequestCount(3)});
     parts.keys.emplace_back("key-1", 0);
     parts.keys.emplace_back("key-2", 0);
--- a/packages/gateway/lib/peerlink.cpp
+++ b/packages/gateway/lib/peerlink.cpp
@@ -142,7 +142,7 @@
 void PeerLink::onDatagram(std::string_view bytes, const asio::ip::udp::endpoint &from)
 {
     const auto datagram = decodeThrift<wire::Datagram>(bytes);
-    if (!datagram) {
+    if (!datagram || !namesSender(*datagram)) {
         telemetry::logEvent(telemetry::LogLevel::Warning,
                             "datagram_malformed",
                             {{"from", from.address().to_string()}, {"bytes", static_cast<std::uint64_t>(bytes.size())}});
--- a/packages/gateway/lib/peerreports.cpp
+++ b/packages/gateway/lib/peerreports.cpp
@@ -1,5 +1,7 @@
 #include "peerreports.h"
 
+#include <rhubarbtiller/telemetry/log.h>
+
 #include <algorithm>
 
 namespace rhubarbtiller::gateway {
@@ -22,6 +24,11 @@
     return static_cast<std::uint64_t>(std::max<std::int64_t>(0, count));
 }
 
+bool namesSender(const wire::Datagram &datagram)
+{
+    return (datagram.__isset.sender && !datagram.sender.host.empty()) || (datagram.__isset.brief && !datagram.brief.host.empty());
+}
+
 PeerReports::PeerReports(balance::Scoreboard &scoreboard, balance::OrganisationQuota &organisationQuota, FailureDomainId ownFailureDomain)
     : board(scoreboard), quota(organisationQuota), ownDomain(std::move(ownFailureDomain))
 {
@@ -144,6 +151,10 @@
         uses.push_back(std::move(use));
     }
     this->quota.onWindowUses(sender.id, sender.incarnation, uses, datagram.namesAllUses, now);
+    telemetry::logEvent(
+        telemetry::LogLevel::Info,
+        "window_uses_learned",
+        {{"host", sender.id.text()}, {"organisations", static_cast<std::uint64_t>(uses.size())}, {"complete", datagram.namesAllUses}});
 }
 
 } // namespace rhubarbtiller::gateway
--- a/packages/gateway/lib/peerreports.h
+++ b/packages/gateway/lib/peerreports.h
@@ -10,6 +10,9 @@
 
 namespace rhubarbtiller::gateway {
 
+/// Returns whether a datagram says who sent it. Precondition: none. Thread safety: any thread.
+bool namesSender(const wire::Datagram &datagram);
+
 /// Makes and reads the reports on servers and admissions that hosts send each other, each failure domain what it needs.
 ///
 /// Hosts of the own failure domain use the same servers and hear everything, as do those of a domain that uses these servers
--- a/packages/gateway/unittests/peerreportstest.cpp
+++ b/packages/gateway/unittests/peerreportstest.cpp
@@ -233,3 +233,20 @@
         CHECK(answer.windowUses.size() <= 500);
     }
 }
+
+TEST_CASE("a datagram without a beat or a brief names no sender")
+{
+    wire::Datagram datagram;
+    CHECK_FALSE(namesSender(datagram));
+    datagram.__set_brief({});
+    CHECK_FALSE(namesSender(datagram));
+    wire::HostBrief brief;
+    brief.host = "h";
+    datagram.__set_brief(brief);
+    CHECK(namesSender(datagram));
+    wire::Datagram full;
+    wire::HostBeat beat;
+    beat.host = "h";
+    full.__set_sender(beat);
+    CHECK(namesSender(full));
+}
--- a/packages/gateway/unittests/requestflowtest.cpp
+++ b/packages/gateway/unittests/requestflowtest.cpp
@@ -90,7 +90,7 @@
     {
         catalog::CatalogParts parts;
         parts.version = ConfigVersion(1);
-        parts.services.push_back({catalog::ServiceName("service"), SlotCount(10), RequestRate(2)});
+        parts.services.push_back({catalog::ServiceName("service"), RequestRate(2)});
         parts.routes
             = {this->route("/read/", catalog::Repeatability::Idempotent, 2), this->route("/write/", catalog::Repeatability::AtMostOnce, 1)};
         parts.organisations.push_back({OrganisationId("org"), {}, RequestRate(0), RequestCount(0)});
