Compress the copies of the tables between hosts, and give late ones more time

Cause: version 6 brings 1,980 routes. A host takes it as one copy from an entry host of its domain, and all hosts of a domain ask at once. Hosts with a link of 10 Mbit/s cannot receive it within the 500 ms that a copy may take; the copy was given up and begun anew from the start, 2,151 times between 23 and 36 s ("peer_copy_failed ... deadline passed"). Evacuations stand in the same table. Ruled out: the store (entry hosts had version 6 at 22.8 s, 0.3 s after it was back) and the order of takeover.

Change: copies are deflated (zlib, negotiated by Accept-Encoding, so that hosts of both builds understand each other), once for each version of the configuration; the time for a copy doubles with each one that came late, up to 4 s.

--- a/packages/gateway/lib/gatewayprocess.cpp
+++ b/packages/gateway/lib/gatewayprocess.cpp
@@ -447,7 +447,7 @@
         return statusOnly(400);
     }
     const auto source = table == "servers" ? SourceTable::Servers : SourceTable::Configuration;
-    return {200, {{"Content-Type", "application/octet-stream"}}, this->sync.encodeAnswer(source, after)};
+    return this->sync.answerPeer(request, source, after);
 }
 
 http::HttpResponse GatewayProcess::Parts::answerState()
--- a/packages/gateway/lib/statesync.cpp
+++ b/packages/gateway/lib/statesync.cpp
@@ -2,6 +2,8 @@
 
 #include "thriftcodec.h"
 
+#include <rhubarbtiller/http/compression.h>
+#include <rhubarbtiller/http/errors.h>
 #include <rhubarbtiller/telemetry/log.h>
 
 #include <asio/post.hpp>
@@ -41,8 +43,16 @@
 /// Pause after an answer with changes.
 static constexpr Duration ChangePause = std::chrono::milliseconds(120);
 
-/// A peer answers at once; a longer wait means that it is gone.
-static constexpr Duration PullTimeout = std::chrono::milliseconds(500);
+/// A peer answers at once; a longer wait means that it is gone or that a link is busy. The time doubles with each copy that
+/// took too long, so that a large one arrives over a slow link as well.
+static constexpr Duration FirstPullTimeout = std::chrono::milliseconds(500);
+static constexpr unsigned MaxPullDoublings = 3;
+
+/// Smaller answers, in bytes, are sent as they are.
+static constexpr std::size_t LeastCompressed = 1024;
+
+/// The largest copy of a table that is taken from a peer.
+static constexpr ByteCount MaxCopy{64 * 1024 * 1024};
 
 /// Bounds the memory of rows that were reported as unreadable.
 static constexpr std::size_t MaxReportedRows = 1000;
@@ -226,32 +236,46 @@
     call.server = peer.controlAddress;
     call.request.method = "GET";
     call.request.target = "/replica/" + std::string(tableWord(state.table)) + "?after=" + std::to_string(state.replica.version());
-    call.deadline = this->parts.clock.now() + PullTimeout;
-    call.maxAnswer = ByteCount(64 * 1024 * 1024);
+    call.request.headers.push_back({"Accept-Encoding", std::string(http::DeflateCoding)});
+    call.deadline = this->parts.clock.now() + FirstPullTimeout * (1U << std::min(state.pullTimeouts, MaxPullDoublings));
+    call.maxAnswer = MaxCopy;
     this->parts.peers.send(std::move(call), [this, &state, host = peer.host](const http::HttpOutcome &outcome) {
         asio::post(this->parts.context, [this, &state, host, response = outcome.response] {
-            state.isPulling = false;
-            if (!response || response->status != 200) {
-                logEvent(LogLevel::Warning,
-                         "peer_copy_failed",
-                         {{"host", host.text()},
-                          {"table", tableWord(state.table)},
-                          {"error", response ? std::to_string(response->status) : response.error().message()}});
-                return;
-            }
-            const auto answer = decodeThrift<wire::ReplicaAnswer>(response->body);
-            if (!answer) {
-                logEvent(LogLevel::Warning, "peer_copy_malformed", {{"host", host.text()}, {"table", tableWord(state.table)}});
-                return;
-            }
-            if (state.replica.adopt(*answer, this->parts.clock.now())) {
-                state.needsWhole = false;
-                this->onTableChanged(state, host.text());
-            }
+            this->onPeerAnswer(state, host, response);
         });
     });
 }
 
+void StateSync::onPeerAnswer(TableState &state, const HostId &host, const Result<http::HttpResponse> &response)
+{
+    state.isPulling = false;
+    if (!response || response->status != 200) {
+        const bool isLate = !response && response.error() == http::HttpError::Timeout;
+        state.pullTimeouts += isLate ? 1 : 0;
+        logEvent(LogLevel::Warning,
+                 "peer_copy_failed",
+                 {{"host", host.text()},
+                  {"table", tableWord(state.table)},
+                  {"late_in_a_row", static_cast<std::uint64_t>(state.pullTimeouts)},
+                  {"error", response ? std::to_string(response->status) : response.error().message()}});
+        return;
+    }
+    state.pullTimeouts = 0;
+    std::optional<std::string> body(response->body);
+    if (http::findHeader(response->headers, "Content-Encoding") == http::DeflateCoding) {
+        body = http::inflated(response->body, MaxCopy);
+    }
+    const auto answer = body ? decodeThrift<wire::ReplicaAnswer>(*body) : std::nullopt;
+    if (!answer) {
+        logEvent(LogLevel::Warning, "peer_copy_malformed", {{"host", host.text()}, {"table", tableWord(state.table)}});
+        return;
+    }
+    if (state.replica.adopt(*answer, this->parts.clock.now())) {
+        state.needsWhole = false;
+        this->onTableChanged(state, host.text());
+    }
+}
+
 void StateSync::keepLapsedServers(const HeldRows &removed, MonotonicTime now)
 {
     const bool isAfterOutage = this->isStoreAway || (this->storeBackAt != MonotonicTime() && now < this->storeBackAt + ReturnTime);
@@ -407,10 +431,39 @@
     return standing;
 }
 
-std::string StateSync::encodeAnswer(SourceTable table, std::uint64_t after) const
+http::HttpResponse StateSync::answerPeer(const http::HttpRequest &request, SourceTable table, std::uint64_t after)
 {
     const auto &state = table == SourceTable::Configuration ? this->configuration : this->servers;
-    return encodeThrift(state.replica.answer(after, this->parts.clock.now()));
+    http::HttpResponse response{200, {{"Content-Type", "application/octet-stream"}}, {}};
+    if (http::findHeader(request.headers, "Accept-Encoding") == http::DeflateCoding) {
+        response.body = this->compressedRows(state, after);
+        if (!response.body.empty()) {
+            response.headers.push_back({"Content-Encoding", std::string(http::DeflateCoding)});
+            return response;
+        }
+    }
+    response.body = encodeThrift(state.replica.answer(after, this->parts.clock.now()));
+    return response;
+}
+
+/// Returns the rows for a peer compressed; empty if there are too few.
+std::string StateSync::compressedRows(const TableState &state, std::uint64_t after)
+{
+    // The age of a row decides how long a server is cold, and does not matter for the configuration.
+    const bool isKept = state.table == SourceTable::Configuration;
+    const auto version = state.replica.version();
+    if (isKept && this->lastCompressed && this->lastCompressed->after == after && this->lastCompressed->version == version) {
+        return this->lastCompressed->bytes;
+    }
+    const auto rows = encodeThrift(state.replica.answer(after, this->parts.clock.now()));
+    if (rows.size() < LeastCompressed) {
+        return {};
+    }
+    auto bytes = http::deflated(rows);
+    if (isKept) {
+        this->lastCompressed = {after, version, bytes};
+    }
+    return bytes;
 }
 
 } // namespace rhubarbtiller::gateway
--- a/packages/gateway/lib/statesync.h
+++ b/packages/gateway/lib/statesync.h
@@ -71,8 +71,10 @@
     /// Returns what to say to peers. Thread safety: any thread.
     OwnStanding standing() const;
 
-    /// Returns the rows that a peer lacks, encoded. Precondition: none.
-    std::string encodeAnswer(SourceTable table, std::uint64_t after) const;
+    /// Answers a peer that holds the version \p after with the rows that it lacks, compressed if \p request accepts that.
+    ///
+    /// Precondition: none.
+    http::HttpResponse answerPeer(const http::HttpRequest &request, SourceTable table, std::uint64_t after);
 
 private:
     struct TableState
@@ -84,6 +86,16 @@
         bool needsWhole = true;
         MonotonicTime nextCallAt{};
         unsigned failures = 0;
+        /// Copies in a row that peers did not send within their time.
+        unsigned pullTimeouts = 0;
+    };
+
+    /// The compressed rows of the configuration for peers that hold one version, since most of them hold the same.
+    struct CompressedRows
+    {
+        std::uint64_t after = 0;
+        std::uint64_t version = 0;
+        std::string bytes;
     };
 
     /// An entry as it was decoded from one version of its row; none if it names no server.
@@ -106,6 +118,8 @@
     void onStoreAnswer(MonotonicTime now);
     void onStoreFailure(TableState &state, const std::error_code &error, MonotonicTime now);
     void pull(TableState &state, const PeerStanding &peer);
+    void onPeerAnswer(TableState &state, const HostId &host, const Result<http::HttpResponse> &response);
+    std::string compressedRows(const TableState &state, std::uint64_t after);
     void onTableChanged(const TableState &state, std::string_view from);
     void keepLapsedServers(const HeldRows &removed, MonotonicTime now);
     void publish();
@@ -117,6 +131,7 @@
     asio::steady_timer timer;
     TableState configuration;
     TableState servers;
+    std::optional<CompressedRows> lastCompressed;
     std::map<HostId, FreshPeer> peersInDomain;
     std::shared_ptr<const catalog::Catalog> catalog;
     std::shared_ptr<const catalog::ServerTable> lastServers;
--- a/packages/gateway/unittests/statesynctest.cpp
+++ b/packages/gateway/unittests/statesynctest.cpp
@@ -2,6 +2,8 @@
 #include "fakes.h"
 #include "thriftcodec.h"
 
+#include <rhubarbtiller/http/compression.h>
+#include <rhubarbtiller/http/errors.h>
 #include <rhubarbtiller/testing/fakehttpclient.h>
 #include <rhubarbtiller/testing/virtualclock.h>
 
@@ -56,6 +58,14 @@
         this->source.answer(SourceTable::Servers, SourceBatch{std::move(servers), 10});
     }
 
+    /// Lets the store answer the next call for changes.
+    void changeConfiguration(std::vector<SourceRow> rows, std::uint64_t version)
+    {
+        this->clock.advance(1s);
+        this->tick();
+        this->source.answer(SourceTable::Configuration, SourceBatch{std::move(rows), version});
+    }
+
     std::vector<std::string> servers() const
     {
         std::vector<std::string> names;
@@ -84,6 +94,19 @@
 
 using Names = std::vector<std::string>;
 
+/// Rows like those of a configuration with many routes, and their store version.
+std::vector<SourceRow> largeConfiguration(std::size_t routes)
+{
+    SeededRandom random(11);
+    std::string value;
+    for (std::size_t i = 0; i < routes; ++i) {
+        value += R"({"kind":"routes","meta":{"name":"r-)" + std::to_string(random.below(1'000'000'000)) + R"("},"spec":{"host":"host)"
+            + std::to_string(random.below(10)) + R"(.example","prefix":"/)" + std::to_string(random.below(1'000'000'000))
+            + R"(/","type":"unsafe","timeout_s":1.2,"slo_s":0.8,"priority":1,"service":"bookings","max_attempts":2,"public":false}},)";
+    }
+    return {{"routes", value, 20, false}};
+}
+
 } // namespace
 
 TEST_CASE("a host reads both tables whole and follows them from there")
@@ -184,6 +207,111 @@
     CHECK(fixture.servers() == Names{"s1", "s9"});
 }
 
+// A host with a link of 10 Mbit/s, nine tenths of it busy with requests, as in a fleet whose configuration grows by 2,000 routes.
+TEST_CASE("a host with a slow link has a large configuration of its peer within the time for a change")
+{
+    constexpr double LinkBytesPerSecond = 125'000;
+    constexpr Duration TimeForChange = 2500ms;
+    SyncFixture peer;
+    peer.startWith({});
+    peer.changeConfiguration(largeConfiguration(2000), 20);
+
+    SyncFixture fixture;
+    fixture.startWith({});
+    fixture.sync.setRank(1);
+    fixture.peers.setServer([&](const http::HttpCall &call) {
+        auto response = peer.sync.answerPeer(call.request, SourceTable::Configuration, 10);
+        const auto arrivesAt = fixture.clock.now()
+            + std::chrono::duration_cast<Duration>(
+                                   std::chrono::duration<double>(static_cast<double>(response.body.size()) / LinkBytesPerSecond));
+        fixture.clock.advance(std::min(arrivesAt, call.deadline) - fixture.clock.now());
+        if (arrivesAt > call.deadline) {
+            return http::HttpOutcome{make_error_code(http::HttpError::Timeout), true};
+        }
+        return http::HttpOutcome{std::move(response), true};
+    });
+    const auto changedAt = fixture.clock.now();
+    while (fixture.sync.standing().configurationVersion < 20 && fixture.clock.now() < changedAt + TimeForChange) {
+        fixture.sync.onPeer(fixture.peer(20, 10, 10ms));
+        fixture.settle();
+        fixture.clock.advance(100ms);
+    }
+    CHECK(fixture.sync.standing().configurationVersion == 20);
+    CHECK(fixture.clock.now() - changedAt < TimeForChange);
+}
+
+TEST_CASE("a copy that takes too long gets more time with each attempt, and the usual time again after a success")
+{
+    SyncFixture fixture;
+    fixture.startWith({});
+    fixture.sync.setRank(1);
+    fixture.peers.setServer([](const http::HttpCall &) {
+        return http::HttpOutcome{make_error_code(http::HttpError::Timeout), true};
+    });
+    const auto pull = [&fixture] {
+        fixture.sync.onPeer(fixture.peer(20, 10, 10ms));
+        fixture.settle();
+        return fixture.peers.calls.back().deadline - fixture.clock.now();
+    };
+    CHECK(pull() == 500ms);
+    CHECK(pull() == 1s);
+    CHECK(pull() == 2s);
+    CHECK(pull() == 4s);
+    CHECK(pull() == 4s);
+    wire::ReplicaAnswer answer;
+    answer.version = 15;
+    answer.__set_keys({"config"});
+    fixture.peers.setServer([&answer](const http::HttpCall &) {
+        return http::HttpOutcome{http::HttpResponse{200, {}, encodeThrift(answer)}, true};
+    });
+    CHECK(pull() == 4s);
+    CHECK(pull() == 500ms);
+}
+
+TEST_CASE("a peer that cannot be reached leaves the time for a copy as it is")
+{
+    SyncFixture fixture;
+    fixture.startWith({});
+    fixture.sync.setRank(1);
+    fixture.peers.setServer([](const http::HttpCall &) {
+        return http::HttpOutcome{make_error_code(http::HttpError::ConnectionRefused), true};
+    });
+    for (int i = 0; i < 3; ++i) {
+        fixture.sync.onPeer(fixture.peer(20, 10, 10ms));
+        fixture.settle();
+        CHECK(fixture.peers.calls.back().deadline - fixture.clock.now() == 500ms);
+    }
+}
+
+TEST_CASE("a peer that asks for no compression gets the rows as they are, and each version gets its own")
+{
+    SyncFixture fixture;
+    fixture.startWith({});
+    fixture.changeConfiguration(largeConfiguration(100), 20);
+    http::HttpRequest question;
+    const auto plain = fixture.sync.answerPeer(question, SourceTable::Configuration, 10);
+    CHECK(http::findHeader(plain.headers, "Content-Encoding").empty());
+    const auto rows = decodeThrift<wire::ReplicaAnswer>(plain.body);
+    REQUIRE(rows);
+    CHECK(rows->rows.size() == 1);
+
+    question.headers.push_back({"Accept-Encoding", "deflate"});
+    const auto compressed = fixture.sync.answerPeer(question, SourceTable::Configuration, 10);
+    CHECK(http::findHeader(compressed.headers, "Content-Encoding") == "deflate");
+    CHECK(http::inflated(compressed.body, ByteCount(1'000'000)) == plain.body);
+    // A peer that holds this version already lacks no row.
+    const auto none = fixture.sync.answerPeer(question, SourceTable::Configuration, 20);
+    const auto noRows = decodeThrift<wire::ReplicaAnswer>(none.body);
+    REQUIRE(noRows);
+    CHECK(noRows->rows.empty());
+
+    fixture.changeConfiguration({{"routes", std::string(5000, 'n'), 30, false}}, 30);
+    const auto newer = fixture.sync.answerPeer(question, SourceTable::Configuration, 10);
+    const auto body = http::inflated(newer.body, ByteCount(1'000'000));
+    REQUIRE(body);
+    CHECK(decodeThrift<wire::ReplicaAnswer>(*body)->version == 30);
+}
+
 TEST_CASE("a malformed answer of a peer changes nothing")
 {
     SyncFixture fixture;
--- a/packages/testing/include/rhubarbtiller/testing/fakehttpclient.h
+++ b/packages/testing/include/rhubarbtiller/testing/fakehttpclient.h
@@ -28,6 +28,12 @@
         return std::make_shared<Handle>();
     }
 
+    /// Replaces the function that answers. Precondition: not called while it runs.
+    void setServer(Server answeringServer)
+    {
+        this->server = std::move(answeringServer);
+    }
+
     std::vector<http::HttpCall> calls;
 
 private:
