Try unused servers also while an organisation is refused over its rate

Cause: a host tries unused servers while more than 8 in 100 requests of a service end without an answer. Requests over a rate were refused before the service was chosen and counted nowhere: in the 2 s before, 37 requests of the service failed (6 in 100) and some 200 were over their rate. 31 of 125 servers of the service were unused then. Ruled out: the exchange between hosts (each domain's hosts knew the new servers within 0.1 s of the entry in the store).

Change: a request over a rate counts as not served for the main service of its route.

--- a/packages/balance/include/rhubarbtiller/balance/serviceoutcomes.h
+++ b/packages/balance/include/rhubarbtiller/balance/serviceoutcomes.h
@@ -13,7 +13,9 @@
 class ServiceOutcomes
 {
 public:
-    /// Notes the end of a request that a caller still waited for. Precondition: \p now does not go back.
+    /// Notes the end of a request that a caller still waited for; one that is refused over a rate is not served either.
+    ///
+    /// Precondition: \p now does not go back.
     void note(const catalog::ServiceName &service, bool isServed, bool isRepeatable, MonotonicTime now);
 
     /// Returns whether so many requests end without an answer of a server that all servers have to be tried.
--- a/packages/balance/include/rhubarbtiller/balance/weightedsplit.h
+++ b/packages/balance/include/rhubarbtiller/balance/weightedsplit.h
@@ -4,6 +4,11 @@
 
 namespace rhubarbtiller::balance {
 
+/// Returns the service that gets most requests of the route.
+///
+/// Precondition: the route has at least one share. Thread safety: any thread.
+const catalog::ServiceName &mainService(const catalog::Route &route);
+
 /// Divides the requests of each route among its services in proportion to their weights.
 ///
 /// Smooth weighted round robin: after any number of requests each service is within one request of its share.
--- a/packages/balance/lib/weightedsplit.cpp
+++ b/packages/balance/lib/weightedsplit.cpp
@@ -5,6 +5,15 @@
 
 namespace rhubarbtiller::balance {
 
+const catalog::ServiceName &mainService(const catalog::Route &route)
+{
+    assert(!route.shares.empty() && "a route leads to at least one service");
+    const auto isLighter = [](const catalog::ServiceShare &left, const catalog::ServiceShare &right) {
+        return left.weight < right.weight;
+    };
+    return std::max_element(route.shares.begin(), route.shares.end(), isLighter)->service;
+}
+
 const catalog::ServiceName &WeightedSplit::next(const catalog::Route &route)
 {
     assert(!route.shares.empty() && "a route leads to at least one service");
--- a/packages/balance/unittests/weightedsplittest.cpp
+++ b/packages/balance/unittests/weightedsplittest.cpp
@@ -36,3 +36,10 @@
         CHECK(split.next(changed).text() != "a");
     }
 }
+
+TEST_CASE("the main service of a route is the one with the largest weight")
+{
+    catalog::Route route;
+    route.shares = {{catalog::ServiceName("small"), 1}, {catalog::ServiceName("large"), 9}, {catalog::ServiceName("middle"), 5}};
+    CHECK(mainService(route).text() == "large");
+}
--- a/packages/gateway/lib/requestflow.cpp
+++ b/packages/gateway/lib/requestflow.cpp
@@ -207,6 +207,8 @@
     if (!this->organisation.isEmpty()) {
         this->quota = this->flow.quota.admit(this->organisation, this->arrivedAt);
         if (this->quota.retryAfter) {
+            // Counts against the service, so that the servers it leaves unused are tried.
+            this->service = balance::mainService(*this->route);
             return Refusal{RefusalReason::OverQuota, true, this->quota.retryAfter};
         }
         this->isAdmitted = true;
--- a/packages/gateway/unittests/requestflowtest.cpp
+++ b/packages/gateway/unittests/requestflowtest.cpp
@@ -5,6 +5,8 @@
 
 #include <doctest/doctest.h>
 
+#include <set>
+
 using namespace rhubarbtiller;
 using namespace rhubarbtiller::gateway;
 using namespace std::chrono_literals;
@@ -86,15 +88,18 @@
 class FlowFixture
 {
 public:
-    explicit FlowFixture(int servers = 4)
+    /// Without a rate the organisation has no limit.
+    explicit FlowFixture(int servers = 4, RequestRate rate = RequestRate(0))
     {
         catalog::CatalogParts parts;
         parts.version = ConfigVersion(1);
         parts.services.push_back({catalog::ServiceName("service"), RequestRate(2)});
         parts.routes
             = {this->route("/read/", catalog::Repeatability::Idempotent, 2), this->route("/write/", catalog::Repeatability::AtMostOnce, 1)};
-        parts.organisations.push_back({OrganisationId("org"), {}, RequestRate(0), RequestCount(0)});
+        parts.organisations.push_back({OrganisationId("org"), {}, rate, RequestCount(rate.count())});
+        parts.organisations.push_back({OrganisationId("calm"), {}, RequestRate(0), RequestCount(0)});
         parts.keys.emplace_back("key", 0);
+        parts.keys.emplace_back("calm key", 1);
         auto fleet = std::make_shared<catalog::FleetState>();
         fleet->catalog = std::make_shared<catalog::Catalog>(std::move(parts));
         std::vector<catalog::ServerEntry> entries;
@@ -404,3 +409,41 @@
     CHECK(send("ten bytes!", "") == "unknown_key");
     CHECK(fixture.backend.sent.empty());
 }
+
+// One organisation sends far more than its rate, as on a day on which most servers of a service were replaced as well; the few
+// proven servers have room for what is left.
+TEST_CASE("while an organisation is refused over its rate, servers that nobody used get work that cannot be repeated")
+{
+    static constexpr int Servers = 10;
+    FlowFixture fixture(Servers, RequestRate(1));
+    fixture.flow.usedServersFloor = 0.7;
+    fixture.quota.configure(*fixture.state.read()->catalog, fixture.clock.now());
+    fixture.quota.setHeard(1, 1);
+    fixture.clock.advance(10s);
+    for (int i = 0; i < 3; ++i) {
+        const BackendServerId proven("s" + std::to_string(i));
+        for (int success = 0; success < 3; ++success) {
+            fixture.board.observe(proven, balance::Evidence::Success, fixture.clock.now());
+        }
+    }
+    std::set<std::string> used;
+    int refused = 0;
+    // 4 s at 12 requests a second for each of the two; the first 2 s show that requests are refused.
+    for (int i = 0; i < 48; ++i) {
+        for (const auto *const key : {"key", "calm key"}) {
+            const auto sentBefore = fixture.backend.sent.size();
+            fixture.ask("/write/", "2000", key);
+            if (fixture.backend.sent.size() == sentBefore) {
+                ++refused;
+                continue;
+            }
+            if (i >= 24) {
+                used.insert(fixture.backend.sent.back()->call.server.text());
+            }
+            fixture.end(sentBefore, AttemptEnd::Answered, {200, {}, {}});
+        }
+        fixture.clock.advance(83ms);
+    }
+    REQUIRE(refused > 24);
+    CHECK(used.size() >= 7);
+}
