Try servers again 2 s after their last failure while a service fails its callers

Cause: while a service fails its callers, a host tries the unused servers of its domain whose estimate is below 0.35, or more if fewer than seven tenths are used. After a failure the estimate falls below 0.35 in 2.8 s, but such a server is sound again after 2 s; servers that were just added are used and count for the seven tenths. Evidence: of the servers that had work before 6 s and none from 6 to 8 s, all had failed from 5.5 to 6.5 s, and all answered when they were tried again from 8.0 to 9.4 s. Ruled out: servers that were just added (all had work 0.3 s after their entry) and lost reports.

Change: an unused server without a failure for 2 s is tried, whatever its estimate; it is known at every host that hears failures.

Test: three servers that failed get work from 2.0 to 2.5 s after it, and none before; without the change none does.

--- a/packages/balance/include/rhubarbtiller/balance/scoreboard.h
+++ b/packages/balance/include/rhubarbtiller/balance/scoreboard.h
@@ -34,6 +34,8 @@
     MonotonicTime lastUsedAt{};
     /// When any host is known to have sent a request there.
     MonotonicTime lastUsedByFleetAt{};
+    /// When a request there last failed, at any host.
+    MonotonicTime lastFailureAt{};
     /// Until then no connection is opened, since the last one failed.
     MonotonicTime connectBackoffUntil{};
     unsigned connectFailures = 0;
--- a/packages/balance/lib/placement.cpp
+++ b/packages/balance/lib/placement.cpp
@@ -39,6 +39,9 @@
 /// A server without a request for this long counts as unused; shorter than the 2 s over which the platform judges the floor.
 static constexpr Duration UnusedAfter = std::chrono::milliseconds(1200);
 
+/// A server that failed by itself counts as sound again after this time, by the platform's rule for the floor.
+static constexpr Duration SoundAgainAfter = std::chrono::seconds(2);
+
 /// With fewer servers in a failure domain, the floor is rounded down.
 static constexpr unsigned LeastServersForFloor = 4;
 
@@ -104,6 +107,7 @@
         }
         if (this->next.server == nullptr || figures.failureProbability < this->next.failureProbability) {
             this->next = figures;
+            this->mayBeSound = state.lastFailureAt == MonotonicTime() || now - state.lastFailureAt >= SoundAgainAfter;
         }
     }
 
@@ -114,14 +118,15 @@
         ++this->used;
     }
 
-    /// Returns the most reliable unused server if it is likely to be sound, or if the used ones are below the floor.
+    /// Returns the most reliable unused server if it may be sound, or if the used ones are below the floor.
     ///
-    /// Used servers that fail count for the floor, so that it says nothing about the sound ones among the unused.
+    /// Used servers that fail count for the floor, so that it says nothing about the sound ones among the unused: each of these
+    /// is tried.
     std::optional<Placement> missing(double floor) const
     {
         // Of two or three servers, a failing one is left alone.
         const double least = this->usable < LeastServersForFloor ? std::floor(floor * this->usable) : floor * this->usable;
-        const bool isWanted = this->used < least || this->next.failureProbability < RiskyFailureProbability;
+        const bool isWanted = this->used < least || this->mayBeSound;
         return floor > 0 && isWanted && this->next.server != nullptr ? std::optional(this->next) : std::nullopt;
     }
 
@@ -129,6 +134,7 @@
     unsigned usable = 0;
     unsigned used = 0;
     Placement next;
+    bool mayBeSound = false;
 };
 
 } // namespace
--- a/packages/balance/lib/scoreboard.cpp
+++ b/packages/balance/lib/scoreboard.cpp
@@ -63,9 +63,17 @@
     }
 }
 
+static void noteEvidence(ServerState &state, Evidence evidence, MonotonicTime now)
+{
+    state.estimator.observe(evidence, now);
+    if (isFailure(evidence)) {
+        state.lastFailureAt = now;
+    }
+}
+
 void Scoreboard::observe(const BackendServerId &server, Evidence evidence, MonotonicTime now)
 {
-    this->servers[server].estimator.observe(evidence, now);
+    noteEvidence(this->servers[server], evidence, now);
     if (this->unreported.size() < MaxUnreported) {
         this->unreported.push_back({server, evidence});
     }
@@ -94,7 +102,7 @@
 {
     for (const auto &report : evidence) {
         if (const auto found = this->servers.find(report.server); found != this->servers.end()) {
-            found->second.estimator.observe(report.evidence, now);
+            noteEvidence(found->second, report.evidence, now);
             found->second.lastUsedByFleetAt = now;
         }
     }
--- a/packages/balance/unittests/placementtest.cpp
+++ b/packages/balance/unittests/placementtest.cpp
@@ -281,6 +281,39 @@
     CHECK(used.contains("s12"));
 }
 
+// Servers that hung for a while are sound again 2 s later, while the estimate still puts the used ones before them. Those that were
+// added meanwhile are used and count for the floor.
+TEST_CASE("while a service fails its callers, servers that failed more than 2 s ago get work again")
+{
+    static constexpr int Servers = 13;
+    static constexpr int Failed = 3;
+    PlacementFixture fixture(Servers);
+    fixture.query.usedServersFloor = 0.7;
+    for (int i = 0; i < Failed; ++i) {
+        fixture.board.observe(BackendServerId("s" + std::to_string(i)), Evidence::BrokenAnswer, fixture.clock.now());
+    }
+    std::set<std::string> early;
+    std::set<std::string> late;
+    // 2.5 s at 20 requests a second.
+    for (int i = 0; i < 50; ++i) {
+        for (int server = Failed; server < Servers; ++server) {
+            const BackendServerId id("s" + std::to_string(server));
+            fixture.board.onRemote(HostId("other"), {{id, Evidence::Success}}, {}, fixture.clock.now());
+        }
+        const auto placement = fixture.choose();
+        REQUIRE(placement.server != nullptr);
+        (i < 40 ? early : late).insert(placement.server->id.text());
+        fixture.board.onSent(placement.server->id, fixture.clock.now());
+        fixture.board.onFinished(placement.server->id);
+        fixture.clock.advance(50ms);
+    }
+    for (int i = 0; i < Failed; ++i) {
+        const auto id = "s" + std::to_string(i);
+        CHECK_FALSE(early.contains(id));
+        CHECK(late.contains(id));
+    }
+}
+
 // Hosts of other failure domains do not report the use of sound servers, so that all of those would look unused.
 TEST_CASE("the floor does not send work to servers of other failure domains")
 {
