Keep a slow server from hiding others that may be sound again

Of the unused servers only the one with the lowest estimate was looked at.

Test: one server failed 2.1 s ago, another is slow, eight are used; the failed one gets none of three requests without the change.

--- a/packages/balance/lib/placement.cpp
+++ b/packages/balance/lib/placement.cpp
@@ -107,7 +107,10 @@
         }
         if (this->next.server == nullptr || figures.failureProbability < this->next.failureProbability) {
             this->next = figures;
-            this->mayBeSound = state.lastFailureAt == MonotonicTime() || now - state.lastFailureAt >= SoundAgainAfter;
+        }
+        const bool mayBeSound = figures.failureProbability < RiskyFailureProbability || now - state.lastFailureAt >= SoundAgainAfter;
+        if (mayBeSound && (this->nextSound.server == nullptr || figures.failureProbability < this->nextSound.failureProbability)) {
+            this->nextSound = figures;
         }
     }
 
@@ -118,23 +121,29 @@
         ++this->used;
     }
 
-    /// Returns the most reliable unused server if it may be sound, or if the used ones are below the floor.
+    /// Returns the most reliable unused server that may be sound; if the used ones are below the floor, any unused one.
     ///
     /// Used servers that fail count for the floor, so that it says nothing about the sound ones among the unused: each of these
     /// is tried.
     std::optional<Placement> missing(double floor) const
     {
+        if (floor <= 0) {
+            return std::nullopt;
+        }
+        if (this->nextSound.server != nullptr) {
+            return this->nextSound;
+        }
         // Of two or three servers, a failing one is left alone.
         const double least = this->usable < LeastServersForFloor ? std::floor(floor * this->usable) : floor * this->usable;
-        const bool isWanted = this->used < least || this->mayBeSound;
-        return floor > 0 && isWanted && this->next.server != nullptr ? std::optional(this->next) : std::nullopt;
+        return this->used < least && this->next.server != nullptr ? std::optional(this->next) : std::nullopt;
     }
 
 private:
     unsigned usable = 0;
     unsigned used = 0;
+    /// The most reliable unused server, and the most reliable one that may be sound.
     Placement next;
-    bool mayBeSound = false;
+    Placement nextSound;
 };
 
 } // namespace
--- a/packages/balance/unittests/placementtest.cpp
+++ b/packages/balance/unittests/placementtest.cpp
@@ -314,6 +314,28 @@
     }
 }
 
+// The estimate of a server that was slow a moment ago is lower than that of one that failed 2 s ago.
+TEST_CASE("while a service fails its callers, a slow server does not keep the others from getting work again")
+{
+    PlacementFixture fixture(10);
+    fixture.query.usedServersFloor = 0.7;
+    fixture.board.observe(BackendServerId("s0"), Evidence::BrokenAnswer, fixture.clock.now());
+    fixture.clock.advance(2100ms);
+    fixture.board.observe(BackendServerId("s1"), Evidence::Overdue, fixture.clock.now());
+    for (int i = 2; i < 10; ++i) {
+        fixture.board.onRemote(HostId("other"), {{BackendServerId("s" + std::to_string(i)), Evidence::Success}}, {}, fixture.clock.now());
+    }
+    std::set<std::string> used;
+    for (int i = 0; i < 3; ++i) {
+        const auto placement = fixture.choose();
+        REQUIRE(placement.server != nullptr);
+        used.insert(placement.server->id.text());
+        fixture.board.onSent(placement.server->id, fixture.clock.now());
+        fixture.board.onFinished(placement.server->id);
+    }
+    CHECK(used.contains("s0"));
+}
+
 // Hosts of other failure domains do not report the use of sound servers, so that all of those would look unused.
 TEST_CASE("the floor does not send work to servers of other failure domains")
 {
