Count a hanging request as one that failed when it was sent, and as use only once

Cause, a part of it: servers that let requests hang were kept out longer than others. Their requests were reported as load every 400 ms, which counted as new work there, and each note of silence, 0.9 s and 1.8 s after sending, counted as a failure at that moment. Ruled out: servers that were just added; all had work in each 2 s.

Change: load counts as use when it rises; silence counts as a failure at the time of the last request.

Test: a server whose requests hang for 1.9 s gets work within 2.4 s after they were sent, and did not before.

--- a/packages/balance/include/rhubarbtiller/balance/scoreboard.h
+++ b/packages/balance/include/rhubarbtiller/balance/scoreboard.h
@@ -32,9 +32,9 @@
     std::uint32_t ownOutstanding = 0;
     /// When this host last sent a request there.
     MonotonicTime lastUsedAt{};
-    /// When any host is known to have sent a request there.
+    /// When any host is last known to have sent a request there.
     MonotonicTime lastUsedByFleetAt{};
-    /// When a request there last failed, at any host.
+    /// When a request there last failed, at any host; one without an answer counts from when it was sent.
     MonotonicTime lastFailureAt{};
     /// Until then no connection is opened, since the last one failed.
     MonotonicTime connectBackoffUntil{};
@@ -48,8 +48,8 @@
     /// Returns the requests that other hosts have there. Precondition: none.
     std::uint32_t remoteOutstanding(MonotonicTime now) const;
 
-    /// Replaces what a host reported. Precondition: none.
-    void setRemoteOutstanding(const HostId &host, std::uint32_t requests, MonotonicTime now);
+    /// Replaces what a host reported; returns whether it has more requests there than before. Precondition: none.
+    bool setRemoteOutstanding(const HostId &host, std::uint32_t requests, MonotonicTime now);
 
 private:
     struct Remote
--- a/packages/balance/lib/scoreboard.cpp
+++ b/packages/balance/lib/scoreboard.cpp
@@ -26,13 +26,16 @@
     return sum;
 }
 
-void ServerState::setRemoteOutstanding(const HostId &host, std::uint32_t requests, MonotonicTime now)
+bool ServerState::setRemoteOutstanding(const HostId &host, std::uint32_t requests, MonotonicTime now)
 {
     if (requests == 0) {
         this->remotes.erase(host);
-        return;
+        return false;
     }
-    this->remotes[host] = {requests, now + OutstandingValidity};
+    auto &remote = this->remotes[host];
+    const auto before = now < remote.validUntil ? remote.requests : 0;
+    remote = {requests, now + OutstandingValidity};
+    return requests > before;
 }
 
 ServerState &Scoreboard::state(const BackendServerId &server)
@@ -67,7 +70,8 @@
 {
     state.estimator.observe(evidence, now);
     if (isFailure(evidence)) {
-        state.lastFailureAt = now;
+        // Silence says that the server failed when the request was sent; it may be sound by now.
+        state.lastFailureAt = std::max(state.lastFailureAt, evidence == Evidence::Overdue ? state.lastUsedByFleetAt : now);
     }
 }
 
@@ -103,13 +107,15 @@
     for (const auto &report : evidence) {
         if (const auto found = this->servers.find(report.server); found != this->servers.end()) {
             noteEvidence(found->second, report.evidence, now);
-            found->second.lastUsedByFleetAt = now;
+            if (report.evidence != Evidence::Overdue) {
+                found->second.lastUsedByFleetAt = now;
+            }
         }
     }
     for (const auto &report : outstanding) {
         if (const auto found = this->servers.find(report.server); found != this->servers.end()) {
-            found->second.setRemoteOutstanding(host, report.requests, now);
-            if (report.requests > 0) {
+            // A count that stays is that of requests without an answer.
+            if (found->second.setRemoteOutstanding(host, report.requests, now)) {
                 found->second.lastUsedByFleetAt = now;
             }
         }
--- a/packages/balance/unittests/placementtest.cpp
+++ b/packages/balance/unittests/placementtest.cpp
@@ -314,6 +314,40 @@
     }
 }
 
+// The requests of another host hang for 1.9 s; it reports them every 400 ms, and each 900 ms that there is no answer.
+TEST_CASE("while a service fails its callers, a server with hanging requests gets work 2 s after the last one was sent")
+{
+    PlacementFixture fixture(10);
+    fixture.query.usedServersFloor = 0.7;
+    const BackendServerId hanging("s0");
+    std::set<std::string> early;
+    std::set<std::string> late;
+    for (int i = 0; i < 24; ++i) {
+        const auto passed = i * 100ms;
+        if (passed % 400ms == 0ms && passed < 1900ms) {
+            fixture.board.onRemote(HostId("other"), {}, {{hanging, 2}}, fixture.clock.now());
+        }
+        if (passed == 900ms || passed == 1800ms) {
+            fixture.board.onRemote(HostId("other"), {{hanging, Evidence::Overdue}, {hanging, Evidence::Overdue}}, {}, fixture.clock.now());
+        }
+        if (passed == 1900ms) {
+            fixture.board.onRemote(HostId("other"), {}, {{hanging, 0}}, fixture.clock.now());
+        }
+        for (int server = 1; server < 10; ++server) {
+            const BackendServerId id("s" + std::to_string(server));
+            fixture.board.onRemote(HostId("other"), {{id, Evidence::Success}}, {}, fixture.clock.now());
+        }
+        const auto placement = fixture.choose();
+        REQUIRE(placement.server != nullptr);
+        (passed < 2s ? early : late).insert(placement.server->id.text());
+        fixture.board.onSent(placement.server->id, fixture.clock.now());
+        fixture.board.onFinished(placement.server->id);
+        fixture.clock.advance(100ms);
+    }
+    CHECK_FALSE(early.contains("s0"));
+    CHECK(late.contains("s0"));
+}
+
 // The estimate of a server that was slow a moment ago is lower than that of one that failed 2 s ago.
 TEST_CASE("while a service fails its callers, a slow server does not keep the others from getting work again")
 {
