Count only requests that reached a server as its use

Cause: a host whose link to a server is cut keeps trying it, each time until the connection fails, and its load report made the other hosts of the domain take the server for used for 1.2 s.

Change: a server is in use while a request is on its way, and for 1.2 s after the outcome of one that reached it; an own connection that fails is no use.

Test: another host reports a request to a server and takes it back without an outcome; this host tries the server at once, and did not before.

--- a/packages/balance/include/rhubarbtiller/balance/scoreboard.h
+++ b/packages/balance/include/rhubarbtiller/balance/scoreboard.h
@@ -32,8 +32,10 @@
     std::uint32_t ownOutstanding = 0;
     /// When this host last sent a request there.
     MonotonicTime lastUsedAt{};
-    /// When any host is last known to have sent a request there.
-    MonotonicTime lastUsedByFleetAt{};
+    /// When the outcome of a request that reached the server was last noted, at any host.
+    MonotonicTime lastReachedByFleetAt{};
+    /// When any host last began to send a request, which may fail to reach the server.
+    MonotonicTime lastSentByFleetAt{};
     /// When a request there last failed, at any host; one without an answer counts from when it was sent.
     MonotonicTime lastFailureAt{};
     /// Until then no connection is opened, since the last one failed.
@@ -45,6 +47,9 @@
     FailureDomainId failureDomain;
     SlotCount slots{1};
 
+    /// Returns whether a request reached the server within the time, or is on its way. Precondition: none.
+    bool wasUsedWithin(Duration time, MonotonicTime now) const;
+
     /// Returns the requests that other hosts have there. Precondition: none.
     std::uint32_t remoteOutstanding(MonotonicTime now) const;
 
--- a/packages/balance/lib/placement.cpp
+++ b/packages/balance/lib/placement.cpp
@@ -101,7 +101,7 @@
     void add(const ServerState &state, const Placement &figures, MonotonicTime now)
     {
         ++this->usable;
-        if (now - state.lastUsedByFleetAt < UnusedAfter) {
+        if (state.wasUsedWithin(UnusedAfter, now)) {
             ++this->used;
             return;
         }
--- a/packages/balance/lib/scoreboard.cpp
+++ b/packages/balance/lib/scoreboard.cpp
@@ -17,6 +17,13 @@
 /// Evidence beyond this waits for no report; a report is one datagram.
 static constexpr std::size_t MaxUnreported = 64;
 
+bool ServerState::wasUsedWithin(Duration time, MonotonicTime now) const
+{
+    const bool isSentHere = this->connectFailures == 0 && now - this->lastUsedAt < time;
+    const bool isSentElsewhere = this->remoteOutstanding(now) > 0 && now - this->lastSentByFleetAt < time;
+    return isSentHere || isSentElsewhere || now - this->lastReachedByFleetAt < time;
+}
+
 std::uint32_t ServerState::remoteOutstanding(MonotonicTime now) const
 {
     std::uint32_t sum = 0;
@@ -54,7 +61,7 @@
     auto &state = this->servers[server];
     ++state.ownOutstanding;
     state.lastUsedAt = now;
-    state.lastUsedByFleetAt = now;
+    state.lastSentByFleetAt = now;
 }
 
 void Scoreboard::onFinished(const BackendServerId &server)
@@ -71,7 +78,10 @@
     state.estimator.observe(evidence, now);
     if (isFailure(evidence)) {
         // Silence says that the server failed when the request was sent; it may be sound by now.
-        state.lastFailureAt = std::max(state.lastFailureAt, evidence == Evidence::Overdue ? state.lastUsedByFleetAt : now);
+        state.lastFailureAt = std::max(state.lastFailureAt, evidence == Evidence::Overdue ? state.lastSentByFleetAt : now);
+    }
+    if (evidence != Evidence::Overdue) {
+        state.lastReachedByFleetAt = now;
     }
 }
 
@@ -107,16 +117,13 @@
     for (const auto &report : evidence) {
         if (const auto found = this->servers.find(report.server); found != this->servers.end()) {
             noteEvidence(found->second, report.evidence, now);
-            if (report.evidence != Evidence::Overdue) {
-                found->second.lastUsedByFleetAt = now;
-            }
         }
     }
     for (const auto &report : outstanding) {
         if (const auto found = this->servers.find(report.server); found != this->servers.end()) {
             // A count that stays is that of requests without an answer.
             if (found->second.setRemoteOutstanding(host, report.requests, now)) {
-                found->second.lastUsedByFleetAt = now;
+                found->second.lastSentByFleetAt = now;
             }
         }
     }
--- a/packages/balance/unittests/placementtest.cpp
+++ b/packages/balance/unittests/placementtest.cpp
@@ -348,6 +348,26 @@
     CHECK(late.contains("s0"));
 }
 
+// A host whose link to a server is cut reports its request as load until the connection fails.
+TEST_CASE("while a service fails its callers, a server that another host cannot reach gets work from this one")
+{
+    PlacementFixture fixture(10);
+    fixture.query.usedServersFloor = 0.7;
+    const BackendServerId unreached("s0");
+    for (int i = 0; i < 10; ++i) {
+        fixture.board.observe(BackendServerId("s" + std::to_string(i)), Evidence::Success, fixture.clock.now());
+    }
+    fixture.clock.advance(2s);
+    for (int i = 1; i < 10; ++i) {
+        fixture.board.onRemote(HostId("other"), {{BackendServerId("s" + std::to_string(i)), Evidence::Success}}, {}, fixture.clock.now());
+    }
+    fixture.board.onRemote(HostId("other"), {}, {{unreached, 1}}, fixture.clock.now());
+    CHECK(fixture.choose().server->id != unreached);
+    fixture.clock.advance(300ms);
+    fixture.board.onRemote(HostId("other"), {}, {{unreached, 0}}, fixture.clock.now());
+    CHECK(fixture.choose().server->id == unreached);
+}
+
 // The estimate of a server that was slow a moment ago is lower than that of one that failed 2 s ago.
 TEST_CASE("while a service fails its callers, a slow server does not keep the others from getting work again")
 {
