--- a/packages/balance/include/rhubarbtiller/balance/placement.h
+++ b/packages/balance/include/rhubarbtiller/balance/placement.h
@@ -51,7 +51,8 @@
 /// Chooses the backend server with the lowest expected cost: probability of failure, queueing, distance.
 ///
 /// Requests that can be repeated also try servers that were not used for long, so that there is fresh evidence on all
-/// servers for the requests that cannot. Below the floor of used servers, the most reliable unused one is chosen.
+/// servers for the requests that cannot. While a floor of used servers is asked for, an unused server of the own failure domain that
+/// may be sound goes first; below the floor, any unused one does.
 /// Thread safety: one thread.
 /// Precondition: \p state holds a server table.
 Placement
--- a/packages/http/lib/compression.cpp
+++ b/packages/http/lib/compression.cpp
@@ -14,7 +14,7 @@
 {
     auto size = compressBound(static_cast<uLong>(bytes.size()));
     std::string result(size, '\0');
-    // The fastest level: a small host spends more time on compressing than its link saves by the higher ones.
+    // Favours processor time over size.
     [[maybe_unused]] const int status = compress2(reinterpret_cast<Bytef *>(result.data()),
                                                   &size,
                                                   reinterpret_cast<const Bytef *>(bytes.data()),
