Tell how many servers of a service are used, and why the others are not

A serving host now writes service_use every 2 s for each service that leaves servers of its domain unused or fails its callers, with the reason for each unused server, and sets two gauges. At most 16 lines in 2 s. No decision changes.

--- a/packages/balance/include/rhubarbtiller/balance/serviceoutcomes.h
+++ b/packages/balance/include/rhubarbtiller/balance/serviceoutcomes.h
@@ -4,9 +4,21 @@
 #include <rhubarbtiller/catalog/catalog.h>
 
 #include <array>
+#include <map>
 
 namespace rhubarbtiller::balance {
 
+/// How the requests for one service ended lately.
+struct OutcomeCount
+{
+    std::uint32_t served = 0;
+    /// Ended without an answer that the caller was waiting for; refusals among them.
+    std::uint32_t unserved = 0;
+
+    /// Returns the share of requests that were not served; 0 without requests. Precondition: none.
+    double unservedShare() const;
+};
+
 /// Counts how the requests for each service end, over a few seconds.
 ///
 /// Thread safety: one thread.
@@ -24,6 +36,11 @@
     /// Precondition: \p now does not go back.
     bool needsTrials(const catalog::ServiceName &service, MonotonicTime now) const;
 
+    /// Returns the counts of the last 4 s by service; services without requests are left out.
+    ///
+    /// Precondition: \p now does not go back.
+    std::map<catalog::ServiceName, OutcomeCount> recent(MonotonicTime now) const;
+
 private:
     static constexpr std::size_t SliceCount = 8;
 
--- a/packages/balance/lib/serviceoutcomes.cpp
+++ b/packages/balance/lib/serviceoutcomes.cpp
@@ -19,6 +19,12 @@
     return now.time_since_epoch() / SliceLength;
 }
 
+double OutcomeCount::unservedShare() const
+{
+    const auto requests = this->served + this->unserved;
+    return requests == 0 ? 0 : static_cast<double>(this->unserved) / requests;
+}
+
 void ServiceOutcomes::note(const catalog::ServiceName &service, bool isServed, bool isRepeatable, MonotonicTime now)
 {
     const auto number = sliceNumber(now);
@@ -51,4 +57,23 @@
     return unserved >= LeastUnserved && unserved > FailingShare * requests && repeatable < TryingShare * requests;
 }
 
+std::map<catalog::ServiceName, OutcomeCount> ServiceOutcomes::recent(MonotonicTime now) const
+{
+    const auto oldest = sliceNumber(now) - static_cast<std::int64_t>(SliceCount);
+    std::map<catalog::ServiceName, OutcomeCount> counts;
+    for (const auto &[service, slices] : this->services) {
+        OutcomeCount count;
+        for (const auto &slice : slices) {
+            if (slice.number > oldest) {
+                count.served += slice.served;
+                count.unserved += slice.unserved;
+            }
+        }
+        if (count.served + count.unserved > 0) {
+            counts.emplace(service, count);
+        }
+    }
+    return counts;
+}
+
 } // namespace rhubarbtiller::balance
--- a/packages/balance/unittests/serviceoutcomestest.cpp
+++ b/packages/balance/unittests/serviceoutcomestest.cpp
@@ -46,3 +46,19 @@
     }
     CHECK_FALSE(outcomes.needsTrials(Service, clock.now()));
 }
+
+TEST_CASE("recent outcomes are counted by service")
+{
+    testing::VirtualClock clock;
+    ServiceOutcomes outcomes;
+    for (int i = 0; i < 4; ++i) {
+        outcomes.note(Service, i > 0, false, clock.now());
+    }
+    outcomes.note(catalog::ServiceName("other"), true, true, clock.now());
+    const auto counts = outcomes.recent(clock.now());
+    REQUIRE(counts.size() == 2);
+    CHECK(counts.at(Service).unservedShare() == doctest::Approx(0.25));
+    CHECK(counts.at(catalog::ServiceName("other")).unservedShare() == 0);
+    clock.advance(5s);
+    CHECK(outcomes.recent(clock.now()).empty());
+}
--- a/packages/gateway/lib/gatewayprocess.cpp
+++ b/packages/gateway/lib/gatewayprocess.cpp
@@ -2,6 +2,7 @@
 
 #include "peerlink.h"
 #include "requestflow.h"
+#include "serviceusemonitor.h"
 #include "statepage.h"
 #include "statesync.h"
 #include "thriftcodec.h"
@@ -159,6 +160,7 @@
     balance::WeightedSplit split;
     std::unique_ptr<BackendClient> backend;
     FlowContext flow;
+    ServiceUseMonitor useMonitor;
     StateSync sync;
     PeerLink link;
     CallerHandler callerHandler;
@@ -225,6 +227,7 @@
                this->link.onEvidence();
            },
            0}
+    , useMonitor(settings.failureDomain, metrics)
     , sync({controlContext,
             clock,
             random,
@@ -492,10 +495,13 @@
     this->checkStop();
 }
 
-/// Looks after the waiting requests, since slots also become free at other hosts.
+/// Looks after the waiting requests, since slots also become free at other hosts, and after the use of servers.
 void GatewayProcess::Parts::pumpWaiting()
 {
     this->flow.waiting.pump(this->clock.now());
+    if (const auto current = this->state.read(); current && current->servers) {
+        this->useMonitor.update(*current, this->board, this->flow.outcomes, this->clock.now());
+    }
     this->pumpTimer.expires_after(this->flow.waiting.isEmpty() ? IdlePumpInterval : BusyPumpInterval);
     this->pumpTimer.async_wait([this](std::error_code error) {
         if (!error) {
--- a/packages/telemetry/include/rhubarbtiller/telemetry/metrics.h
+++ b/packages/telemetry/include/rhubarbtiller/telemetry/metrics.h
@@ -57,6 +57,16 @@
     /// Sets the number of authenticated connections to peers. Precondition: none. Thread safety: any thread.
     void setPeersConnected(std::uint64_t peers);
 
+    /// Sets the least share, over the services with requests, of this failure domain's servers that are used; 0 to 1.
+    ///
+    /// Precondition: none. Thread safety: any thread.
+    void setLeastUsedServers(double share);
+
+    /// Sets the largest share, over the services with requests, of requests that were not served lately; 0 to 1.
+    ///
+    /// Precondition: none. Thread safety: any thread.
+    void setMostUnserved(double share);
+
     /// Counts a failed call to the platform. Precondition: \p operation is a constant word. Thread safety: any thread.
     void countStoreError(std::string_view operation);
 
--- a/packages/telemetry/lib/metrics.cpp
+++ b/packages/telemetry/lib/metrics.cpp
@@ -36,6 +36,10 @@
 static constexpr MetricText VotesHeld{"rhubarbtiller_votes_held", "Votes held over all shards."};
 static constexpr MetricText ShardsOwned{"rhubarbtiller_shards_owned", "Shards owned by this host."};
 static constexpr MetricText PeersConnected{"rhubarbtiller_peers_connected", "Authenticated connections to peers."};
+static constexpr MetricText LeastUsedServers{"rhubarbtiller_least_used_servers_ratio",
+                                             "Least share, over services with requests, of the own domain's servers that got requests."};
+static constexpr MetricText MostUnserved{"rhubarbtiller_most_unserved_ratio",
+                                         "Largest share, over services with requests, of requests that were not served."};
 static constexpr MetricText StoreErrors{"rhubarbtiller_store_errors_total", "Failed calls to the platform's services, by operation."};
 static constexpr MetricText ControlBytes{"rhubarbtiller_control_bytes_total", "Bytes of control messages sent and received."};
 static constexpr MetricText ControlCpu{"rhubarbtiller_control_cpu_seconds_total", "Processor time of controllers."};
@@ -127,6 +131,8 @@
     prometheus::Gauge &votesHeld = makeGauge(registry, VotesHeld);
     prometheus::Gauge &shardsOwned = makeGauge(registry, ShardsOwned);
     prometheus::Gauge &peersConnected = makeGauge(registry, PeersConnected);
+    prometheus::Gauge &leastUsedServers = makeGauge(registry, LeastUsedServers);
+    prometheus::Gauge &mostUnserved = makeGauge(registry, MostUnserved);
     LabelledCounters storeErrors{registry, StoreErrors, "operation"};
     prometheus::Counter &controlBytes = makeCounter(registry, ControlBytes);
     prometheus::Counter &controlCpu = makeCounter(registry, ControlCpu);
@@ -193,6 +199,16 @@
     this->state->peersConnected.Set(static_cast<double>(peers));
 }
 
+void Metrics::setLeastUsedServers(double share)
+{
+    this->state->leastUsedServers.Set(share);
+}
+
+void Metrics::setMostUnserved(double share)
+{
+    this->state->mostUnserved.Set(share);
+}
+
 void Metrics::countStoreError(std::string_view operation)
 {
     this->state->storeErrors.increment(operation);
