Reproduce the floor of used servers in a model of the fleet's placement

The model plays a service whose requests cannot be repeated on a virtual clock: the placement of eight hosts in four failure domains, the reports between them, servers that fail by themselves, and drawn disturbances; it judges the floor over all windows of 2 s.

--- /dev/null
+++ b/packages/balance/unittests/usedserverstest.cpp
@@ -0,0 +1,38 @@
+#include "usedserversmodel.h"
+
+#include <doctest/doctest.h>
+
+#include <cstdlib>
+
+using namespace rhubarbtiller;
+using namespace rhubarbtiller::balance;
+
+/// Days that every run plays; RHUBARBTILLER_SEEDS adds more.
+static constexpr std::uint64_t FixedDays = 24;
+
+TEST_CASE("a service that fails a part of its callers does not leave sound servers unused")
+{
+    const char *const more = std::getenv("RHUBARBTILLER_SEEDS");
+    const auto days = FixedDays + (more != nullptr ? std::strtoull(more, nullptr, 10) : 0);
+    unsigned requests = 0;
+    unsigned unserved = 0;
+    double leastUsed = 1;
+    unsigned brokenDays = 0;
+    for (std::uint64_t seed = 1; seed <= days; ++seed) {
+        const auto result = playDay(drawDay(seed));
+        requests += result.requests;
+        unserved += result.unserved;
+        leastUsed = std::min(leastUsed, result.leastUsed);
+        brokenDays += result.broken.empty() ? 0 : 1;
+        if (!result.broken.empty()) {
+            const auto &first = result.broken.front();
+            CAPTURE(seed);
+            CAPTURE(std::chrono::duration<double>(first.endsAt).count());
+            CAPTURE(first.unserved);
+            CAPTURE(first.requests);
+            CHECK_MESSAGE(first.used >= 0.7 * first.sound, first.used << " of " << first.sound << " sound servers were used");
+        }
+    }
+    MESSAGE(brokenDays << " of " << days << " days broken, least share of used servers " << leastUsed << ", " << unserved << " of "
+                       << requests << " requests not served");
+}
