Send requests to servers that got none for a while, instead of waiting for failures

Cause: use erodes. Work that cannot be repeated goes to the server with the lowest estimated failure, and the estimate of a server without requests never gets as low as that of one with a fresh answer. A server that failed once, or refused a connection once, came back only when the others were full. The mechanism against it reacted to failures of the service, seconds after the window in which the platform judges. Ruled out: hosts that don't know of each other's use (used servers are spread over all domains and the lines of both entry hosts agree).

A server of the own domain without a request for 1.4 s is now due for the next one, whatever the service's state, and 2 s after a failure; one that goes on failing less often. Requests that can be repeated come 0.4 s earlier, and the hosts of a domain one after the other. One test of placement now says that no server is due, since the first requests go to servers that nobody used yet. Callers that leave count as not served in the line service_use.

--- a/packages/balance/include/rhubarbtiller/balance/hostdirectory.h
+++ b/packages/balance/include/rhubarbtiller/balance/hostdirectory.h
@@ -90,6 +90,12 @@
     /// Precondition: none.
     std::size_t ownRank(MonotonicTime now) const;
 
+    /// Returns ownRank() as of the last updateClaim(), without counting again. Precondition: none.
+    std::size_t lastRank() const
+    {
+        return this->rankAtClaim;
+    }
+
     /// Returns whether callers are sent to this host. Precondition: none.
     bool isEntryHost() const
     {
@@ -126,11 +132,14 @@
 
     std::size_t unheardBefore(MonotonicTime now) const;
 
+    void decideClaim(MonotonicTime now);
+
     HostRecord self;
     /// Since when the failure domain has too few entry hosts; the end of time while it has enough.
     MonotonicTime lackSince = MonotonicTime::max();
     /// When this host may become an entry host at the earliest; the end of time until the first decision.
     MonotonicTime mayClaimAt = MonotonicTime::max();
+    std::size_t rankAtClaim = 0;
     bool knowsAll;
     const unsigned perDomain;
     std::map<HostId, Known> hosts;
--- a/packages/balance/include/rhubarbtiller/balance/placement.h
+++ b/packages/balance/include/rhubarbtiller/balance/placement.h
@@ -22,9 +22,8 @@
     unsigned entryHostsInDomain = 1;
     /// Whether callers are sent to this host; others leave cold servers alone.
     bool isEntryHost = true;
-    /// The share of the servers of this failure domain that get requests at least, 0 to 1; above 0 while the service fails its
-    /// callers.
-    double usedServersFloor = 0;
+    /// The position of this host in its failure domain; the first one looks after unused servers, the others stand in for it.
+    std::size_t rankInDomain = 0;
 };
 
 /// Why no server was found.
@@ -50,9 +49,9 @@
 
 /// Chooses the backend server with the lowest expected cost: probability of failure, queueing, distance.
 ///
-/// Requests that can be repeated also try servers that were not used for long, so that there is fresh evidence on all
-/// servers for the requests that cannot. While a floor of used servers is asked for, an unused server of the own failure domain that
-/// may be sound goes first; below the floor, any unused one does.
+/// A server of the own failure domain that got nothing for more than a second goes first, unless it failed lately: use would
+/// otherwise narrow to the servers with the newest good answers, and nobody would know the others when these fail. Requests that
+/// can be repeated come upon such servers before those that cannot.
 /// Thread safety: one thread.
 /// Precondition: \p state holds a server table.
 Placement
--- a/packages/balance/include/rhubarbtiller/balance/scoreboard.h
+++ b/packages/balance/include/rhubarbtiller/balance/scoreboard.h
@@ -38,6 +38,8 @@
     MonotonicTime lastSentByFleetAt{};
     /// When a request there last failed, at any host; one without an answer counts from when it was sent.
     MonotonicTime lastFailureAt{};
+    /// Failures without a success between them; those that come together count as one.
+    unsigned failuresInARow = 0;
     /// Until then no connection is opened, since the last one failed.
     MonotonicTime connectBackoffUntil{};
     unsigned connectFailures = 0;
@@ -50,6 +52,11 @@
     /// Returns whether a request reached the server within the time, or is on its way. Precondition: none.
     bool wasUsedWithin(Duration time, MonotonicTime now) const;
 
+    /// Returns when the server is due for a request again after its failures; the first moment of all if it has none.
+    ///
+    /// Precondition: none.
+    MonotonicTime retryAt() const;
+
     /// Returns the requests that other hosts have there. Precondition: none.
     std::uint32_t remoteOutstanding(MonotonicTime now) const;
 
--- a/packages/balance/include/rhubarbtiller/balance/serviceoutcomes.h
+++ b/packages/balance/include/rhubarbtiller/balance/serviceoutcomes.h
@@ -25,16 +25,10 @@
 class ServiceOutcomes
 {
 public:
-    /// Notes the end of a request that a caller still waited for; one that is refused over a rate is not served either.
+    /// Notes the end of a request; one that is refused over a rate, or whose caller has left, is not served either.
     ///
     /// Precondition: \p now does not go back.
-    void note(const catalog::ServiceName &service, bool isServed, bool isRepeatable, MonotonicTime now);
-
-    /// Returns whether so many requests end without an answer of a server that all servers have to be tried.
-    ///
-    /// Requests that can be repeated try all servers anyway; a service that has some never needs it.
-    /// Precondition: \p now does not go back.
-    bool needsTrials(const catalog::ServiceName &service, MonotonicTime now) const;
+    void note(const catalog::ServiceName &service, bool isServed, MonotonicTime now);
 
     /// Returns the counts of the last 4 s by service; services without requests are left out.
     ///
@@ -49,7 +43,6 @@
         std::int64_t number = -1;
         std::uint32_t served = 0;
         std::uint32_t unserved = 0;
-        std::uint32_t repeatable = 0;
     };
 
     std::unordered_map<catalog::ServiceName, std::array<Slice, SliceCount>> services;
--- a/packages/balance/lib/hostdirectory.cpp
+++ b/packages/balance/lib/hostdirectory.cpp
@@ -148,6 +148,12 @@
 }
 
 void HostDirectory::updateClaim(MonotonicTime now)
+{
+    this->decideClaim(now);
+    this->rankAtClaim = this->ownRank(now);
+}
+
+void HostDirectory::decideClaim(MonotonicTime now)
 {
     if (this->self.isLeaving) {
         return;
--- a/packages/balance/lib/placement.cpp
+++ b/packages/balance/lib/placement.cpp
@@ -4,7 +4,6 @@
 #include <cassert>
 #include <cmath>
 #include <limits>
-#include <optional>
 
 namespace rhubarbtiller::balance {
 
@@ -36,14 +35,16 @@
 /// Work that cannot be repeated rather waits for a slot of a better server than going to one that fails this often.
 static constexpr double RiskyFailureProbability = 0.35;
 
-/// A server without a request for this long counts as unused; shorter than the 2 s over which the platform judges the floor.
-static constexpr Duration UnusedAfter = std::chrono::milliseconds(1200);
+/// A server without a request for this long is due for one; shorter than the 2 s over which the platform judges the floor of used
+/// servers, by the time until the next request arrives and until other hosts hear of it.
+static constexpr Duration DueAfter = std::chrono::milliseconds(1400);
 
-/// A server that failed by itself counts as sound again after this time, by the platform's rule for the floor.
-static constexpr Duration SoundAgainAfter = std::chrono::seconds(2);
+/// Requests that can be repeated are sent to such servers this much earlier.
+static constexpr Duration RepeatableLead = std::chrono::milliseconds(400);
 
-/// With fewer servers in a failure domain, the floor is rounded down.
-static constexpr unsigned LeastServersForFloor = 4;
+/// A host waits this long for each host of its failure domain that goes before it: the interval of reports and a margin.
+static constexpr Duration StandInDelay = std::chrono::milliseconds(250);
+static constexpr std::size_t MaxStandInDelays = 4;
 
 /// A server that fails more often than this adds no capacity.
 static constexpr double UsableFailureProbability = 0.5;
@@ -91,59 +92,43 @@
 
 namespace {
 
-/// Counts which servers of a service in the own failure domain get requests, and finds the one to use next if too few do.
+/// Finds the server of the own failure domain that is due for a request: one that accepts connections, and the most reliable of these.
 ///
 /// The hosts of each domain look after its servers; those of others are not known to be used.
-class FloorCount
+class DueServers
 {
 public:
+    DueServers(const PlacementQuery &query, MonotonicTime time) : now(time)
+    {
+        const auto lead = query.canRepeat ? RepeatableLead : Duration(0);
+        this->delay = StandInDelay * std::min(query.rankInDomain, MaxStandInDelays) - lead;
+    }
+
     /// Takes a server that could get the request.
-    void add(const ServerState &state, const Placement &figures, MonotonicTime now)
+    void add(const ServerState &state, const Placement &figures, double tie)
     {
-        ++this->usable;
-        if (state.wasUsedWithin(UnusedAfter, now)) {
-            ++this->used;
+        if (state.wasUsedWithin(DueAfter + this->delay, this->now) || this->now < state.retryAt() + this->delay) {
             return;
         }
-        if (this->next.server == nullptr || figures.failureProbability < this->next.failureProbability) {
-            this->next = figures;
+        const std::pair order(state.connectFailures > 0, figures.failureProbability + tie);
+        if (this->first.server == nullptr || order < this->firstOrder) {
+            this->first = figures;
+            this->firstOrder = order;
         }
-        const bool mayBeSound = figures.failureProbability < RiskyFailureProbability || now - state.lastFailureAt >= SoundAgainAfter;
-        if (mayBeSound && (this->nextSound.server == nullptr || figures.failureProbability < this->nextSound.failureProbability)) {
-            this->nextSound = figures;
-        }
-    }
-
-    /// Takes a server that is used but has no room.
-    void addFull()
-    {
-        ++this->usable;
-        ++this->used;
     }
 
-    /// Returns the most reliable unused server that may be sound; if the used ones are below the floor, any unused one.
-    ///
-    /// Used servers that fail count for the floor, so that it says nothing about the sound ones among the unused: each of these
-    /// is tried.
-    std::optional<Placement> missing(double floor) const
+    /// Returns the server; without one if none is due.
+    const Placement &next() const
     {
-        if (floor <= 0) {
-            return std::nullopt;
-        }
-        if (this->nextSound.server != nullptr) {
-            return this->nextSound;
-        }
-        // Of two or three servers, a failing one is left alone.
-        const double least = this->usable < LeastServersForFloor ? std::floor(floor * this->usable) : floor * this->usable;
-        return this->used < least && this->next.server != nullptr ? std::optional(this->next) : std::nullopt;
+        return this->first;
     }
 
 private:
-    unsigned usable = 0;
-    unsigned used = 0;
-    /// The most reliable unused server, and the most reliable one that may be sound.
-    Placement next;
-    Placement nextSound;
+    MonotonicTime now;
+    Duration delay{};
+    Placement first;
+    /// Whether the last connection to the first failed, and its probability of failure.
+    std::pair<bool, double> firstOrder;
 };
 
 } // namespace
@@ -156,7 +141,7 @@
     Placement best;
     std::uint32_t usableSlots = 0;
     bool hasBetterServer = false;
-    FloorCount floor;
+    DueServers due(query, now);
     double bestCost = std::numeric_limits<double>::max();
     for (const auto position : fleet.servers->serversOf(query.service)) {
         const auto &server = fleet.servers->entries()[position];
@@ -180,9 +165,6 @@
                 best.failure = PlacementFailure::Saturated;
             }
             hasBetterServer = hasBetterServer || figures.failureProbability < RiskyFailureProbability;
-            if (server.failureDomain == query.ownDomain) {
-                floor.addFull();
-            }
             continue;
         }
         const bool isOtherDomain = server.failureDomain != query.ownDomain;
@@ -192,10 +174,10 @@
             }
             continue;
         }
+        const double tie = static_cast<double>(random.below(1000)) / 1000 * TieRange;
         if (!isOtherDomain) {
-            floor.add(state, figures, now);
+            due.add(state, figures, tie);
         }
-        const double tie = static_cast<double>(random.below(1000)) / 1000 * TieRange;
         if (const double candidate = cost(query, server, state, figures, now) + tie; candidate < bestCost) {
             bestCost = candidate;
             best = figures;
@@ -205,8 +187,8 @@
         best.server = nullptr;
         best.failure = PlacementFailure::Saturated;
     }
-    if (const auto missing = floor.missing(query.usedServersFloor)) {
-        best = *missing;
+    if (due.next().server != nullptr) {
+        best = due.next();
     }
     best.usableSlots = usableSlots;
     if (best.server != nullptr && best.isCold) {
--- a/packages/balance/lib/scoreboard.cpp
+++ b/packages/balance/lib/scoreboard.cpp
@@ -1,5 +1,6 @@
 #include <rhubarbtiller/balance/scoreboard.h>
 
+#include <algorithm>
 #include <cassert>
 
 namespace rhubarbtiller::balance {
@@ -17,6 +18,24 @@
 /// Evidence beyond this waits for no report; a report is one datagram.
 static constexpr std::size_t MaxUnreported = 64;
 
+/// A server that failed by itself counts as sound again after this time, by the platform's rule for the floor of used servers.
+static constexpr Duration RetryPause = std::chrono::seconds(2);
+
+/// A server that goes on failing is tried less often from the fourth failure on; one that fails by itself recovers within 4 s.
+static constexpr unsigned ShortPauses = 3;
+static constexpr unsigned MaxPauses = 3;
+
+/// Failures closer to each other are those of requests that were under way together.
+static constexpr Duration JointFailures = std::chrono::seconds(1);
+
+MonotonicTime ServerState::retryAt() const
+{
+    if (this->failuresInARow == 0) {
+        return {};
+    }
+    return this->lastFailureAt + RetryPause * std::min(std::max(this->failuresInARow, ShortPauses) - ShortPauses + 1, MaxPauses);
+}
+
 bool ServerState::wasUsedWithin(Duration time, MonotonicTime now) const
 {
     const bool isSentHere = this->connectFailures == 0 && now - this->lastUsedAt < time;
@@ -78,7 +97,11 @@
     state.estimator.observe(evidence, now);
     if (isFailure(evidence)) {
         // Silence says that the server failed when the request was sent; it may be sound by now.
-        state.lastFailureAt = std::max(state.lastFailureAt, evidence == Evidence::Overdue ? state.lastSentByFleetAt : now);
+        const auto failedAt = evidence == Evidence::Overdue ? state.lastSentByFleetAt : now;
+        state.failuresInARow += state.failuresInARow == 0 || failedAt - state.lastFailureAt >= JointFailures ? 1 : 0;
+        state.lastFailureAt = std::max(state.lastFailureAt, failedAt);
+    } else if (evidence == Evidence::Success) {
+        state.failuresInARow = 0;
     }
     if (evidence != Evidence::Overdue) {
         state.lastReachedByFleetAt = now;
--- a/packages/balance/unittests/placementtest.cpp
+++ b/packages/balance/unittests/placementtest.cpp
@@ -77,6 +77,11 @@
 TEST_CASE("work that cannot be repeated goes to servers with fresh good answers")
 {
     PlacementFixture fixture(5);
+    // No server is due for a request.
+    for (const auto &entry : fixture.entries) {
+        fixture.board.onSent(entry.id, fixture.clock.now());
+        fixture.board.onFinished(entry.id);
+    }
     fixture.board.observe(BackendServerId("s3"), Evidence::Success, fixture.clock.now());
     CHECK(fixture.choose().server->id.text() == "s3");
     fixture.board.observe(BackendServerId("s3"), Evidence::BrokenAnswer, fixture.clock.now());
@@ -229,12 +234,10 @@
     CHECK(lost * 100 <= sent * 3);
 }
 
-// Servers that failed a while ago stay unused by work that cannot be repeated as long as proven ones have room.
-TEST_CASE("while a service fails its callers, its floor of servers gets work that cannot be repeated")
+TEST_CASE("servers that failed a while ago get work that cannot be repeated")
 {
     static constexpr int Servers = 9;
     PlacementFixture fixture(Servers);
-    fixture.query.usedServersFloor = 0.7;
     for (int i = 0; i < 3; ++i) {
         fixture.board.observe(BackendServerId("s" + std::to_string(i)), Evidence::BrokenAnswer, fixture.clock.now());
     }
@@ -256,12 +259,11 @@
 }
 
 // Guards against sound servers that get nothing while failing ones are used and count for the floor.
-TEST_CASE("while a service fails its callers, unused servers without recent failures get work")
+TEST_CASE("unused servers without recent failures get work while others fail")
 {
     static constexpr int Servers = 13;
     static constexpr int Failing = 9;
     PlacementFixture fixture(Servers);
-    fixture.query.usedServersFloor = 0.7;
     std::set<std::string> used;
     // 2 s at 20 requests a second; the failing servers get requests of other hosts, and two of the sound ones do.
     for (int i = 0; i < 40; ++i) {
@@ -281,14 +283,12 @@
     CHECK(used.contains("s12"));
 }
 
-// Servers that hung for a while are sound again 2 s later, while the estimate still puts the used ones before them. Those that were
-// added meanwhile are used and count for the floor.
-TEST_CASE("while a service fails its callers, servers that failed more than 2 s ago get work again")
+// Servers that hung for a while are sound again 2 s later, while the estimate still puts the used ones before them.
+TEST_CASE("servers that failed more than 2 s ago get work again")
 {
     static constexpr int Servers = 13;
     static constexpr int Failed = 3;
     PlacementFixture fixture(Servers);
-    fixture.query.usedServersFloor = 0.7;
     for (int i = 0; i < Failed; ++i) {
         fixture.board.observe(BackendServerId("s" + std::to_string(i)), Evidence::BrokenAnswer, fixture.clock.now());
     }
@@ -315,10 +315,9 @@
 }
 
 // The requests of another host hang for 1.9 s; it reports them every 400 ms, and each 900 ms that there is no answer.
-TEST_CASE("while a service fails its callers, a server with hanging requests gets work 2 s after the last one was sent")
+TEST_CASE("a server with hanging requests gets work 2 s after the last one was sent")
 {
     PlacementFixture fixture(10);
-    fixture.query.usedServersFloor = 0.7;
     const BackendServerId hanging("s0");
     std::set<std::string> early;
     std::set<std::string> late;
@@ -348,11 +347,76 @@
     CHECK(late.contains("s0"));
 }
 
+TEST_CASE("a server that goes on failing is tried less and less, and as before after a success")
+{
+    PlacementFixture fixture(10);
+    const BackendServerId failing("s0");
+    std::vector<MonotonicTime> tries;
+    // 30 s at 10 requests a second; another host keeps the other servers in use.
+    for (int i = 0; i < 300; ++i) {
+        for (int server = 1; server < 10; ++server) {
+            const BackendServerId id("s" + std::to_string(server));
+            fixture.board.onRemote(HostId("other"), {{id, Evidence::Success}}, {}, fixture.clock.now());
+        }
+        const auto placement = fixture.choose();
+        REQUIRE(placement.server != nullptr);
+        fixture.board.onSent(placement.server->id, fixture.clock.now());
+        fixture.board.onFinished(placement.server->id);
+        if (placement.server->id == failing) {
+            tries.push_back(fixture.clock.now());
+            fixture.board.observe(failing, Evidence::BrokenAnswer, fixture.clock.now());
+        }
+        fixture.clock.advance(100ms);
+    }
+    REQUIRE(tries.size() >= 6);
+    CHECK(tries[1] - tries[0] == 2s);
+    CHECK(tries[2] - tries[1] == 2s);
+    CHECK(tries[3] - tries[2] == 2s);
+    CHECK(tries[4] - tries[3] == 4s);
+    CHECK(tries[5] - tries[4] == 6s);
+    CHECK(tries.back() - *(tries.end() - 2) == 6s);
+    fixture.board.observe(failing, Evidence::Success, fixture.clock.now());
+    fixture.board.observe(failing, Evidence::BrokenAnswer, fixture.clock.now());
+    CHECK(fixture.board.state(failing).retryAt() == fixture.clock.now() + 2s);
+}
+
+TEST_CASE("a host stands in late for one that goes before it, and requests that can be repeated come upon a server earlier")
+{
+    PlacementFixture fixture(2);
+    const auto isTriedAfter = [&fixture](Duration unused) {
+        const auto now = fixture.clock.now();
+        fixture.board.state(BackendServerId("s0")).lastReachedByFleetAt = now - unused;
+        fixture.board.observe(BackendServerId("s1"), Evidence::Success, now);
+        fixture.board.state(BackendServerId("s1")).lastUsedAt = now;
+        return fixture.choose().server->id.text() == "s0";
+    };
+    fixture.clock.advance(10s);
+    CHECK(isTriedAfter(1450ms));
+    CHECK_FALSE(isTriedAfter(1350ms));
+    fixture.query.rankInDomain = 1;
+    CHECK_FALSE(isTriedAfter(1600ms));
+    CHECK(isTriedAfter(1700ms));
+    fixture.query.rankInDomain = 0;
+    fixture.query.canRepeat = true;
+    CHECK(isTriedAfter(1050ms));
+}
+
+TEST_CASE("a server that refused connections for a while is tried again although others serve")
+{
+    PlacementFixture fixture(3);
+    const BackendServerId refused("s0");
+    fixture.board.onConnectFailed(refused, fixture.clock.now());
+    fixture.clock.advance(3s);
+    for (int i = 1; i < 3; ++i) {
+        fixture.board.observe(BackendServerId("s" + std::to_string(i)), Evidence::Success, fixture.clock.now());
+    }
+    CHECK(fixture.choose().server->id == refused);
+}
+
 // A host whose link to a server is cut reports its request as load until the connection fails.
-TEST_CASE("while a service fails its callers, a server that another host cannot reach gets work from this one")
+TEST_CASE("a server that another host cannot reach gets work from this one")
 {
     PlacementFixture fixture(10);
-    fixture.query.usedServersFloor = 0.7;
     const BackendServerId unreached("s0");
     for (int i = 0; i < 10; ++i) {
         fixture.board.observe(BackendServerId("s" + std::to_string(i)), Evidence::Success, fixture.clock.now());
@@ -369,10 +433,9 @@
 }
 
 // The estimate of a server that was slow a moment ago is lower than that of one that failed 2 s ago.
-TEST_CASE("while a service fails its callers, a slow server does not keep the others from getting work again")
+TEST_CASE("a slow server does not keep the others from getting work again")
 {
     PlacementFixture fixture(10);
-    fixture.query.usedServersFloor = 0.7;
     fixture.board.observe(BackendServerId("s0"), Evidence::BrokenAnswer, fixture.clock.now());
     fixture.clock.advance(2100ms);
     fixture.board.observe(BackendServerId("s1"), Evidence::Overdue, fixture.clock.now());
@@ -391,14 +454,13 @@
 }
 
 // Hosts of other failure domains do not report the use of sound servers, so that all of those would look unused.
-TEST_CASE("the floor does not send work to servers of other failure domains")
+TEST_CASE("servers of other failure domains are not due for work")
 {
     PlacementFixture fixture(12);
     for (std::size_t i = 3; i < fixture.entries.size(); ++i) {
         fixture.entries[i].failureDomain = FailureDomainId("b");
     }
     fixture.update();
-    fixture.query.usedServersFloor = 0.7;
     for (int i = 0; i < 40; ++i) {
         for (int own = 0; own < 3; ++own) {
             fixture.board.observe(BackendServerId("s" + std::to_string(own)), Evidence::Success, fixture.clock.now());
@@ -415,7 +477,6 @@
 TEST_CASE("a server that another host uses counts as used")
 {
     PlacementFixture fixture(2);
-    fixture.query.usedServersFloor = 1;
     fixture.board.observe(BackendServerId("s0"), Evidence::BrokenAnswer, fixture.clock.now());
     fixture.clock.advance(10s);
     fixture.board.onRemote(HostId("other"), {{BackendServerId("s1"), Evidence::Success}}, {}, fixture.clock.now());
--- a/packages/balance/unittests/usedserversmodel.cpp
+++ b/packages/balance/unittests/usedserversmodel.cpp
@@ -64,7 +64,6 @@
     FailureDomainId domain;
     unsigned rank = 0;
     Scoreboard board;
-    ServiceOutcomes outcomes;
 };
 
 struct ModelRequest
@@ -187,7 +186,6 @@
         for (auto &host : this->hosts) {
             host.board = Scoreboard();
             host.board.retain(*this->fleet.servers);
-            host.outcomes = ServiceOutcomes();
         }
     }
 
@@ -208,18 +206,11 @@
         const bool isOverRate
             = this->plan.overRateFrom > 0s && sinceStart >= this->plan.overRateFrom && sinceStart < this->plan.overRateFrom + 4s;
         if (isOverRate && this->random.below(3) == 0) {
-            this->hosts[host].outcomes.note(Service, false, false, now);
             return;
         }
         this->send(host, number, {});
     }
 
-    void end(std::size_t host, std::size_t number, bool isServed)
-    {
-        this->requests[number].isServed = isServed;
-        this->hosts[host].outcomes.note(Service, isServed, false, this->clock.now());
-    }
-
     PlacementQuery query(const ModelHost &host, std::vector<BackendServerId> excluded) const
     {
         PlacementQuery made;
@@ -227,7 +218,7 @@
         made.ownDomain = host.domain;
         made.excluded = std::move(excluded);
         made.entryHostsInDomain = this->plan.hostsPerDomain;
-        made.usedServersFloor = host.outcomes.needsTrials(Service, this->clock.now()) ? RuleShare : 0;
+        made.rankInDomain = host.rank;
         return made;
     }
 
@@ -237,7 +228,6 @@
         const auto now = this->clock.now();
         const auto placement = chooseServer(this->query(host, excluded), this->fleet, host.board, this->random, now);
         if (placement.server == nullptr || excluded.size() > MaxConnectFailures) {
-            this->end(hostNumber, number, false);
             return;
         }
         const auto id = placement.server->id;
@@ -300,9 +290,8 @@
             });
         }
         if (hangs) {
-            this->at(now + RequestTimeLimit, [this, host, number, id = server.id] {
+            this->at(now + RequestTimeLimit, [this, host, id = server.id] {
                 this->hosts[host].board.onFinished(id);
-                this->end(host, number, false);
             });
             return;
         }
@@ -315,7 +304,7 @@
         this->at(time, [this, host, number, id, evidence] {
             this->hosts[host].board.onFinished(id);
             this->observe(host, id, evidence);
-            this->end(host, number, evidence == Evidence::Success);
+            this->requests[number].isServed = evidence == Evidence::Success;
         });
     }
 
--- a/packages/balance/unittests/usedserversmodel.h
+++ b/packages/balance/unittests/usedserversmodel.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <rhubarbtiller/balance/placement.h>
-#include <rhubarbtiller/balance/serviceoutcomes.h>
 #include <rhubarbtiller/testing/virtualclock.h>
 
 #include <functional>
--- a/packages/balance/unittests/usedserverstest.cpp
+++ b/packages/balance/unittests/usedserverstest.cpp
@@ -8,7 +8,7 @@
 using namespace rhubarbtiller::balance;
 
 /// Days that every run plays; RHUBARBTILLER_SEEDS adds more.
-static constexpr std::uint64_t FixedDays = 24;
+static constexpr std::uint64_t FixedDays = 60;
 
 TEST_CASE("a service that fails a part of its callers does not leave sound servers unused")
 {
--- a/packages/gateway/include/rhubarbtiller/gateway/settings.h
+++ b/packages/gateway/include/rhubarbtiller/gateway/settings.h
@@ -33,8 +33,6 @@
     /// Time from the signal to stop until the process is killed.
     std::chrono::milliseconds stopGrace{6000};
     balance::RetryBudgetBounds retryBudget;
-    /// The share of a service's servers that get requests at least while it fails its callers, 0 to 1.
-    double usedServersFloor = 0.7;
     /// The time over which an organisation's admissions are counted.
     Duration quotaWindow = std::chrono::seconds(5);
     std::string logLevel = "info";
--- a/packages/gateway/lib/gatewayprocess.cpp
+++ b/packages/gateway/lib/gatewayprocess.cpp
@@ -278,7 +278,6 @@
     , pumpTimer(servingContext)
     , registerTimer(controlContext)
 {
-    this->flow.usedServersFloor = this->settings.usedServersFloor;
     this->flow.spans = this->spans.get();
     http::ServerLimits limits;
     limits.maxHeader = ByteCount(64 * 1024);
@@ -472,12 +471,10 @@
     applied.addressLifetime = changed.addressLifetime;
     applied.stopGrace = changed.stopGrace;
     applied.retryBudget = changed.retryBudget;
-    applied.usedServersFloor = changed.usedServersFloor;
     applied.logLevel = changed.logLevel;
     const bool needsRestart = applied != changed;
     this->settings = std::move(applied);
     this->retries.reconfigure(this->settings.retryBudget);
-    this->flow.usedServersFloor = this->settings.usedServersFloor;
     telemetry::setLogLevel(telemetry::logLevelByName(this->settings.logLevel));
     logEvent(LogLevel::Info, "settings_applied", {{"log_level", this->settings.logLevel}, {"needs_restart", needsRestart}});
 }
@@ -495,11 +492,12 @@
     this->checkStop();
 }
 
-/// Looks after the waiting requests, since slots also become free at other hosts, and after the use of servers.
+/// Looks after the waiting requests, since slots also become free at other hosts, and after the use of servers, which hosts that
+/// serve nobody are not told.
 void GatewayProcess::Parts::pumpWaiting()
 {
     this->flow.waiting.pump(this->clock.now());
-    if (const auto current = this->state.read(); current && current->servers) {
+    if (const auto current = this->state.read(); current && current->servers && this->directory.isEntryHost()) {
         this->useMonitor.update(*current, this->board, this->flow.outcomes, this->clock.now());
     }
     this->pumpTimer.expires_after(this->flow.waiting.isEmpty() ? IdlePumpInterval : BusyPumpInterval);
--- a/packages/gateway/lib/requestflow.cpp
+++ b/packages/gateway/lib/requestflow.cpp
@@ -207,7 +207,7 @@
     if (!this->organisation.isEmpty()) {
         this->quota = this->flow.quota.admit(this->organisation, this->arrivedAt);
         if (this->quota.retryAfter) {
-            // Counts against the service, so that the servers it leaves unused are tried.
+            // Counts as a request of the service that is not served.
             this->service = balance::mainService(*this->route);
             return Refusal{RefusalReason::OverQuota, true, this->quota.retryAfter};
         }
@@ -259,7 +259,7 @@
     query.excluded = this->usedServers;
     query.entryHostsInDomain = this->flow.directory.entryHostsPerDomain();
     query.isEntryHost = this->flow.directory.isEntryHost();
-    query.usedServersFloor = this->flow.outcomes.needsTrials(this->service, now) ? this->flow.usedServersFloor : 0;
+    query.rankInDomain = this->flow.directory.lastRank();
     const auto placement = balance::chooseServer(query, *current, this->flow.board, this->flow.random, now);
     this->usableSlots = placement.usableSlots;
     if (placement.server == nullptr) {
@@ -416,6 +416,9 @@
     this->leaveLine();
     this->timer.cancel();
     this->cancelTries();
+    if (!this->service.isEmpty()) {
+        this->flow.outcomes.note(this->service, false, this->flow.clock.now());
+    }
     this->record("caller_gone", 0);
 }
 
@@ -503,7 +506,7 @@
     this->timer.cancel();
     this->cancelTries();
     if (!this->service.isEmpty()) {
-        this->flow.outcomes.note(this->service, outcome == AnsweredOutcome, this->isIdempotent(), this->flow.clock.now());
+        this->flow.outcomes.note(this->service, outcome == AnsweredOutcome, this->flow.clock.now());
     }
     const int status = response.status;
     this->responder->respond(std::move(response));
--- a/packages/gateway/lib/requestflow.h
+++ b/packages/gateway/lib/requestflow.h
@@ -45,8 +45,6 @@
     /// When a request of an organisation was last admitted.
     MonotonicTime lastServedAt{};
     balance::ServiceOutcomes outcomes{};
-    /// The share of a service's servers that get requests at least while it fails its callers, 0 to 1.
-    double usedServersFloor = 0;
 };
 
 /// Carries one request of a caller from its arrival to its answer.
--- a/packages/gateway/lib/settings.cpp
+++ b/packages/gateway/lib/settings.cpp
@@ -60,7 +60,6 @@
     const double grace = reader.number("stopGraceSeconds", std::chrono::duration<double>(settings.stopGrace).count(), 0, MaxGraceSeconds);
     settings.stopGrace = std::chrono::duration_cast<milliseconds>(std::chrono::duration<double>(grace));
     settings.retryBudget = readRetryBudget(reader.object("retryBudget", false), reader.pathOf("retryBudget"), problems);
-    settings.usedServersFloor = reader.number("usedServersFloor", settings.usedServersFloor, 0, 1);
     constexpr double MaxWindowSeconds = 3600;
     const double window
         = reader.number("quotaWindowSeconds", std::chrono::duration<double>(settings.quotaWindow).count(), 0.1, MaxWindowSeconds);
--- a/packages/gateway/unittests/requestflowtest.cpp
+++ b/packages/gateway/unittests/requestflowtest.cpp
@@ -416,7 +416,6 @@
 {
     static constexpr int Servers = 10;
     FlowFixture fixture(Servers, RequestRate(1));
-    fixture.flow.usedServersFloor = 0.7;
     fixture.quota.configure(*fixture.state.read()->catalog, fixture.clock.now());
     fixture.quota.setHeard(1, 1);
     fixture.clock.advance(10s);
