Keep the trailer of a server's answer out of its headers

A trailer behind a chunked answer was added to the answer's headers: one that names the field by which a server says that it did not run the request turned an answer that ran into a refusal that may be repeated, and the caller of work that runs once could have been told so.

The test failed before: 4 headers in place of 2, the refusal's field among them.

--- a/packages/gateway/lib/answerparser.cpp
+++ b/packages/gateway/lib/answerparser.cpp
@@ -21,6 +21,9 @@
         http_parser_settings_init(&made);
         made.on_header_field = [](http_parser *parser, const char *text, std::size_t size) {
             auto &answer = self(parser);
+            if (answer.isHeadRead) {
+                return 0;
+            }
             if (answer.isInValue || answer.response.headers.empty()) {
                 answer.response.headers.emplace_back();
                 answer.isInValue = false;
@@ -30,6 +33,9 @@
         };
         made.on_header_value = [](http_parser *parser, const char *text, std::size_t size) {
             auto &answer = self(parser);
+            if (answer.isHeadRead) {
+                return 0;
+            }
             answer.isInValue = true;
             if (!answer.response.headers.empty()) {
                 answer.response.headers.back().value.append(text, size);
@@ -39,6 +45,7 @@
         made.on_headers_complete = [](http_parser *parser) {
             auto &answer = self(parser);
             answer.response.status = static_cast<int>(parser->status_code);
+            answer.isHeadRead = true;
             return answer.isHeadAnswer ? SkipBody : 0;
         };
         made.on_body = [](http_parser *parser, const char *text, std::size_t size) {
@@ -52,6 +59,7 @@
             if (answer.response.status < FirstFinalStatus) {
                 answer.response = {};
                 answer.isInValue = false;
+                answer.isHeadRead = false;
                 return 0;
             }
             answer.complete = true;
--- a/packages/gateway/lib/answerparser.h
+++ b/packages/gateway/lib/answerparser.h
@@ -10,7 +10,7 @@
 
 /// Reads one answer of a backend server from the bytes of its connection.
 ///
-/// Interim answers (1xx) are passed over. Thread safety: one thread.
+/// Interim answers (1xx) and trailers are passed over. Thread safety: one thread.
 class AnswerParser
 {
 public:
@@ -58,6 +58,8 @@
     http_parser parser{};
     http::HttpResponse response;
     bool isHeadAnswer;
+    /// Whether the head was read, so that further headers are those of a trailer.
+    bool isHeadRead = false;
     bool isInValue = false;
     bool complete = false;
     bool malformed = false;
--- a/packages/gateway/unittests/answerparsertest.cpp
+++ b/packages/gateway/unittests/answerparsertest.cpp
@@ -75,3 +75,15 @@
     parser.accept("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n");
     CHECK(parser.isComplete());
 }
+
+TEST_CASE("the trailer of a chunked answer changes none of its headers")
+{
+    AnswerParser parser(false);
+    parser.accept("HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\nNot-Run: yes\r\nId: 2\r\n\r\n");
+    REQUIRE(parser.isComplete());
+    const auto response = parser.take();
+    CHECK(response.body == "a");
+    CHECK(findHeader(response.headers, "id") == "1");
+    CHECK(findHeader(response.headers, "not-run").empty());
+    CHECK(response.headers.size() == 2);
+}
