Read no body after a 204 or 304; show that an answer cut anywhere in its head is not whole

Shown here by cutting answers at every byte, with a length, chunked, without either, for HEAD, 204 and 304, with and without interim answers: none is taken for whole before its last byte, one without a length not before the end of its head.

The test found another one: the parser waited for a body after a 304 with a length, so that the caller got no answer, or the next answer's bytes counted as its body.

--- a/packages/gateway/lib/answerparser.cpp
+++ b/packages/gateway/lib/answerparser.cpp
@@ -8,6 +8,14 @@
 /// What http_parser expects from a headers callback when no body follows.
 static constexpr int SkipBody = 1;
 
+/// Returns whether answers with this status have no body, whatever their headers say.
+static bool forbidsBody(int status)
+{
+    constexpr int NoContent = 204;
+    constexpr int NotModified = 304;
+    return status == NoContent || status == NotModified;
+}
+
 AnswerParser::AnswerParser(bool isHead) : isHeadAnswer(isHead)
 {
     http_parser_init(&this->parser, HTTP_RESPONSE);
@@ -46,7 +54,7 @@
             auto &answer = self(parser);
             answer.response.status = static_cast<int>(parser->status_code);
             answer.isHeadRead = true;
-            return answer.isHeadAnswer ? SkipBody : 0;
+            return answer.isHeadAnswer || forbidsBody(answer.response.status) ? SkipBody : 0;
         };
         made.on_body = [](http_parser *parser, const char *text, std::size_t size) {
             auto &answer = self(parser);
--- a/packages/gateway/unittests/answerparsertest.cpp
+++ b/packages/gateway/unittests/answerparsertest.cpp
@@ -76,6 +76,52 @@
     CHECK(parser.isComplete());
 }
 
+/// Returns whether the first \p size bytes of \p text and the end of the connection make a whole answer.
+static bool isWholeWhenCut(const std::string &text, std::size_t size, bool isHead)
+{
+    AnswerParser parser(isHead);
+    if (size > 0) {
+        parser.accept(std::string_view(text).substr(0, size));
+    }
+    return !parser.isMalformed() && (parser.isComplete() || parser.finish());
+}
+
+// A head that stops must not pass for an answer without a body.
+TEST_CASE("an answer that breaks off at any byte is not whole")
+{
+    const std::string chunked = "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1;x=y\r\nc\r\n0\r\n";
+    for (const std::string &text : {std::string("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 3\r\n\r\nabc"),
+                                    std::string("HTTP/1.1 200 OK\nId: 1\nContent-Length: 3\n\nabc"),
+                                    std::string("HTTP/1.0 200 OK\r\nContent-Length: 0\r\nId: 1\r\n\r\n"),
+                                    std::string("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc"),
+                                    chunked + "\r\n",
+                                    chunked + "X: y\r\nZ: z\r\n\r\n",
+                                    std::string("HTTP/1.1 204 No Content\r\nId: 1\r\n\r\n"),
+                                    std::string("HTTP/1.1 304 Not Modified\r\nContent-Length: 9\r\nId: 1\r\n\r\n"),
+                                    std::string("HTTP/1.1 503 Full\r\nId: 1\r\nContent-Length: 0\r\n\r\n")}) {
+        CAPTURE(text);
+        for (std::size_t size = 0; size < text.size(); ++size) {
+            CAPTURE(size);
+            CHECK_FALSE(isWholeWhenCut(text, size, false));
+        }
+        CHECK(isWholeWhenCut(text, text.size(), false));
+    }
+    const std::string head = "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 3\r\n\r\n";
+    for (std::size_t size = 0; size <= head.size(); ++size) {
+        CHECK(isWholeWhenCut(head, size, true) == (size == head.size()));
+    }
+}
+
+TEST_CASE("an answer without a length is not whole when it breaks off inside its head")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nId: 1\r\nConnection: close\r\n\r\n";
+    const std::string text = head + "body";
+    for (std::size_t size = 0; size <= text.size(); ++size) {
+        CAPTURE(size);
+        CHECK(isWholeWhenCut(text, size, false) == (size >= head.size()));
+    }
+}
+
 TEST_CASE("the trailer of a chunked answer changes none of its headers")
 {
     AnswerParser parser(false);
