Bound the bytes of answers that never end

A gateway host held up to 8 MiB for each answer and as many answers as callers wait for: twenty endless ones filled a host of 160 MB, which then ends with all its callers. Interim answers, chunks with long extensions and answers to other requests had no bound but the request's deadline.

Bytes beside a body are bounded by 256 KiB and eight for each byte of it, answers to other requests by the size of one answer.

The memory test, 20 endless answers against 4 MiB, has no counterpart before, since nothing counted the bytes.

--- a/packages/gateway/include/rhubarbtiller/gateway/backendclient.h
+++ b/packages/gateway/include/rhubarbtiller/gateway/backendclient.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <rhubarbtiller/base/clock.h>
+#include <rhubarbtiller/base/strongnumber.h>
 #include <rhubarbtiller/gateway/dialect.h>
 
 #include <asio/io_context.hpp>
@@ -30,6 +31,15 @@
     std::string detail;
 };
 
+/// What bounds the answers of faulty servers, which may never end.
+struct AnswerLimits
+{
+    /// The body of one answer, and late answers to other requests before it; larger ones are taken for a fault of the server.
+    ByteCount maxBody{8 * 1024 * 1024};
+    /// The answers that are being read, together; the largest one is given up when there is no room.
+    ByteCount maxHeld{40 * 1024 * 1024};
+};
+
 /// One message to one backend server.
 struct BackendCall
 {
@@ -79,9 +89,13 @@
 
     /// Returns how many connections were opened. Precondition: none.
     virtual std::uint64_t connectionsOpened() const = 0;
+
+    /// Returns the bytes of the answers that are being read. Precondition: none.
+    virtual ByteCount heldBytes() const = 0;
 };
 
 /// Precondition: \p context, \p clock and \p dialect outlive the client. Thread safety: any thread.
-std::unique_ptr<BackendClient> makeBackendClient(asio::io_context &context, const Clock &clock, const Dialect &dialect);
+std::unique_ptr<BackendClient>
+makeBackendClient(asio::io_context &context, const Clock &clock, const Dialect &dialect, const AnswerLimits &limits = {});
 
 } // namespace rhubarbtiller::gateway
--- a/packages/gateway/include/rhubarbtiller/gateway/settings.h
+++ b/packages/gateway/include/rhubarbtiller/gateway/settings.h
@@ -2,6 +2,7 @@
 
 #include <rhubarbtiller/balance/retrybudget.h>
 #include <rhubarbtiller/base/strongid.h>
+#include <rhubarbtiller/base/strongnumber.h>
 #include <rhubarbtiller/config/problem.h>
 
 #include <optional>
@@ -33,6 +34,8 @@
     /// Time from the signal to stop until the process is killed.
     std::chrono::milliseconds stopGrace{6000};
     balance::RetryBudgetBounds retryBudget;
+    /// The memory of the host; answers that are being read take a quarter at most.
+    ByteCount memory{160 * 1024 * 1024};
     /// The time over which an organisation's admissions are counted.
     Duration quotaWindow = std::chrono::seconds(5);
     std::string logLevel = "info";
--- a/packages/gateway/lib/answerparser.cpp
+++ b/packages/gateway/lib/answerparser.cpp
@@ -2,8 +2,11 @@
 
 namespace rhubarbtiller::gateway {
 
-/// Larger answers are taken for a fault of the server.
-static constexpr std::size_t MaxAnswerBody = 8 * 1024 * 1024;
+/// Bytes beside the body for which there is always room: the head, interim answers and the framing of chunks.
+static constexpr std::uint64_t FreeOverhead = 256 * 1024;
+
+/// Further bytes beside the body for each byte of it; a chunk of one byte has five.
+static constexpr std::uint64_t OverheadPerBodyByte = 8;
 
 /// What http_parser expects from a headers callback when no body follows.
 static constexpr int SkipBody = 1;
@@ -16,7 +19,7 @@
     return status == NoContent || status == NotModified;
 }
 
-AnswerParser::AnswerParser(bool isHead) : isHeadAnswer(isHead)
+AnswerParser::AnswerParser(bool isHead, ByteCount maxBody) : bodyLimit(maxBody), isHeadAnswer(isHead)
 {
     http_parser_init(&this->parser, HTTP_RESPONSE);
     this->parser.data = this;
@@ -32,6 +35,7 @@
             if (answer.isHeadRead) {
                 return 0;
             }
+            answer.held += size;
             if (answer.isInValue || answer.response.headers.empty()) {
                 answer.response.headers.emplace_back();
                 answer.isInValue = false;
@@ -44,6 +48,7 @@
             if (answer.isHeadRead) {
                 return 0;
             }
+            answer.held += size;
             answer.isInValue = true;
             if (!answer.response.headers.empty()) {
                 answer.response.headers.back().value.append(text, size);
@@ -58,8 +63,12 @@
         };
         made.on_body = [](http_parser *parser, const char *text, std::size_t size) {
             auto &answer = self(parser);
+            if (answer.response.body.size() + size > answer.bodyLimit.count()) {
+                return -1;
+            }
+            answer.held += size;
             answer.response.body.append(text, size);
-            return answer.response.body.size() > MaxAnswerBody ? -1 : 0;
+            return 0;
         };
         made.on_message_complete = [](http_parser *parser) {
             auto &answer = self(parser);
@@ -68,6 +77,7 @@
                 answer.response = {};
                 answer.isInValue = false;
                 answer.isHeadRead = false;
+                answer.held = 0;
                 return 0;
             }
             answer.complete = true;
@@ -83,11 +93,14 @@
 std::size_t AnswerParser::accept(std::string_view bytes)
 {
     const auto used = http_parser_execute(&this->parser, &callbacks(), bytes.data(), bytes.size());
+    this->taken += used;
     const auto fault = HTTP_PARSER_ERRNO(&this->parser);
     if (fault == HPE_PAUSED) {
         return used;
     }
-    this->malformed = fault != HPE_OK || this->parser.upgrade != 0;
+    const std::uint64_t body = this->response.body.size();
+    const bool isPadded = this->taken - body > FreeOverhead + OverheadPerBodyByte * body;
+    this->malformed = fault != HPE_OK || this->parser.upgrade != 0 || isPadded;
     return used;
 }
 
--- a/packages/gateway/lib/answerparser.h
+++ b/packages/gateway/lib/answerparser.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <rhubarbtiller/base/strongnumber.h>
 #include <rhubarbtiller/http/httpmessage.h>
 
 #include <http_parser.h>
@@ -10,12 +11,13 @@
 
 /// Reads one answer of a backend server from the bytes of its connection.
 ///
-/// Interim answers (1xx) and trailers are passed over. Thread safety: one thread.
+/// Interim answers (1xx) and trailers are passed over. A body above its limit, and bytes without end beside it, are malformed.
+/// Thread safety: one thread.
 class AnswerParser
 {
 public:
-    /// \p isHead says that the request was a HEAD, whose answer has no body.
-    explicit AnswerParser(bool isHead);
+    /// \p isHead says that the request was a HEAD, whose answer has no body. Precondition: none.
+    AnswerParser(bool isHead, ByteCount maxBody);
     AnswerParser(const AnswerParser &) = delete;
     AnswerParser &operator=(const AnswerParser &) = delete;
 
@@ -25,6 +27,18 @@
     /// Notes the end of the connection; returns whether that completes the answer. Precondition: not malformed.
     bool finish();
 
+    /// Returns the bytes that were used so far. Precondition: none.
+    ByteCount takenBytes() const
+    {
+        return ByteCount(this->taken);
+    }
+
+    /// Returns the bytes of the headers and the body that are held in memory. Precondition: none.
+    ByteCount heldBytes() const
+    {
+        return ByteCount(this->held);
+    }
+
     bool isComplete() const
     {
         return this->complete;
@@ -57,6 +71,9 @@
 
     http_parser parser{};
     http::HttpResponse response;
+    const ByteCount bodyLimit;
+    std::uint64_t taken = 0;
+    std::uint64_t held = 0;
     bool isHeadAnswer;
     /// Whether the head was read, so that further headers are those of a trailer.
     bool isHeadRead = false;
--- a/packages/gateway/lib/backendclient.cpp
+++ b/packages/gateway/lib/backendclient.cpp
@@ -8,8 +8,10 @@
 #include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
 
+#include <algorithm>
 #include <array>
 #include <unordered_map>
+#include <unordered_set>
 
 namespace rhubarbtiller::gateway {
 
@@ -61,6 +63,17 @@
         return this->isSent;
     }
 
+    /// Breaks the attempt off for want of memory. Precondition: heldBytes() is above 0.
+    void giveUpAnswer()
+    {
+        this->finish(AttemptEnd::Broken, "no memory for the answer");
+    }
+
+    std::uint64_t heldBytes() const
+    {
+        return this->held;
+    }
+
     const BackendServerId server;
     const Endpoint address;
     MonotonicTime usableUntil{};
@@ -73,6 +86,7 @@
     void onEnd(std::error_code error);
     void finish(AttemptEnd end, std::string detail);
     bool takeMessage();
+    void noteHeld(std::uint64_t bytes);
 
     std::weak_ptr<Client> client;
     asio::ip::tcp::socket socket;
@@ -80,11 +94,16 @@
     RequestId id;
     std::string outgoing;
     bool isHead = false;
+    ByteCount maxBody{0};
     BackendClient::Handler handler;
     std::unique_ptr<AnswerParser> parser;
     http::HttpResponse answer;
     std::array<char, 16384> incoming{};
     std::uint32_t served = 0;
+    /// Bytes of the answer that count in the client.
+    std::uint64_t held = 0;
+    /// Bytes of answers to other requests since the request was sent.
+    std::uint64_t passedOver = 0;
     bool isConnected = false;
     bool isSent = false;
     bool isWritten = false;
@@ -116,8 +135,8 @@
 class Client : public BackendClient, public std::enable_shared_from_this<Client>
 {
 public:
-    Client(asio::io_context &ioContext, const Clock &timeSource, const Dialect &speech)
-        : context(ioContext), clock(timeSource), dialect(speech)
+    Client(asio::io_context &ioContext, const Clock &timeSource, const Dialect &speech, const AnswerLimits &answerLimits)
+        : context(ioContext), clock(timeSource), dialect(speech), limits(answerLimits)
     {
     }
 
@@ -185,6 +204,33 @@
         return this->dialect;
     }
 
+    ByteCount maxBody() const
+    {
+        return this->limits.maxBody;
+    }
+
+    /// Notes what a connection holds of an answer, and gives the largest answer up if they are too large together.
+    void onHeld(Connection &connection, std::uint64_t before, std::uint64_t now)
+    {
+        this->held += now - before;
+        if (now == 0) {
+            this->receiving.erase(&connection);
+            return;
+        }
+        this->receiving.insert(&connection);
+        if (this->held > this->limits.maxHeld.count()) {
+            const auto largest = std::max_element(this->receiving.begin(), this->receiving.end(), [](const auto *one, const auto *other) {
+                return one->heldBytes() < other->heldBytes();
+            });
+            (*largest)->giveUpAnswer();
+        }
+    }
+
+    ByteCount heldBytes() const override
+    {
+        return ByteCount(this->held);
+    }
+
 private:
     /// Returns the connection that was used last, since it is the least likely to have been closed.
     std::shared_ptr<Connection> takeIdle(const BackendCall &call)
@@ -208,7 +254,11 @@
     asio::io_context &context;
     const Clock &clock;
     const Dialect &dialect;
+    const AnswerLimits limits;
     std::unordered_map<BackendServerId, std::vector<std::shared_ptr<Connection>>> idle;
+    /// The connections that hold a part of an answer, and the bytes of all of them.
+    std::unordered_set<Connection *> receiving;
+    std::uint64_t held = 0;
     std::uint64_t opened = 0;
 };
 
@@ -222,7 +272,10 @@
     this->handler = std::move(receiver);
     this->isSent = false;
     this->isWritten = false;
-    this->parser = std::make_unique<AnswerParser>(this->isHead);
+    this->passedOver = 0;
+    const auto owner = this->client.lock();
+    this->maxBody = owner ? owner->maxBody() : ByteCount(0);
+    this->parser = std::make_unique<AnswerParser>(this->isHead, this->maxBody);
     if (this->isConnected) {
         this->write();
         return;
@@ -323,6 +376,10 @@
             this->finish(AttemptEnd::Broken, "malformed answer");
             return;
         }
+        this->noteHeld(this->parser->heldBytes().count());
+        if (this->isClosed) {
+            return;
+        }
         bytes.remove_prefix(used);
         if (!this->parser->isComplete()) {
             continue;
@@ -334,15 +391,29 @@
             }
             return;
         }
-        this->parser = std::make_unique<AnswerParser>(this->isHead);
+        this->passedOver += this->parser->takenBytes().count();
+        if (this->passedOver > this->maxBody.count()) {
+            this->finish(AttemptEnd::Broken, "answers to other requests");
+            return;
+        }
+        this->parser = std::make_unique<AnswerParser>(this->isHead, this->maxBody);
     }
     this->read();
 }
 
+void Connection::noteHeld(std::uint64_t bytes)
+{
+    const auto before = std::exchange(this->held, bytes);
+    if (const auto owner = this->client.lock(); owner && before != bytes) {
+        owner->onHeld(*this, before, bytes);
+    }
+}
+
 /// Takes the answer that the parser holds; returns false if it belongs to another request.
 bool Connection::takeMessage()
 {
     auto response = this->parser->take();
+    this->noteHeld(0);
     const auto owner = this->client.lock();
     if (!owner) {
         this->finish(AttemptEnd::Broken, "shutting down");
@@ -404,6 +475,7 @@
     if (std::exchange(this->isClosed, true)) {
         return;
     }
+    this->noteHeld(0);
     this->connectTimer.cancel();
     std::error_code ignored;
     this->socket.close(ignored);
@@ -418,8 +490,8 @@
 class ClientHandle : public BackendClient
 {
 public:
-    ClientHandle(asio::io_context &context, const Clock &clock, const Dialect &dialect)
-        : client(std::make_shared<Client>(context, clock, dialect))
+    ClientHandle(asio::io_context &context, const Clock &clock, const Dialect &dialect, const AnswerLimits &limits)
+        : client(std::make_shared<Client>(context, clock, dialect, limits))
     {
     }
 
@@ -438,15 +510,21 @@
         return this->client->connectionsOpened();
     }
 
+    ByteCount heldBytes() const override
+    {
+        return this->client->heldBytes();
+    }
+
 private:
     std::shared_ptr<Client> client;
 };
 
 } // namespace
 
-std::unique_ptr<BackendClient> makeBackendClient(asio::io_context &context, const Clock &clock, const Dialect &dialect)
+std::unique_ptr<BackendClient>
+makeBackendClient(asio::io_context &context, const Clock &clock, const Dialect &dialect, const AnswerLimits &limits)
 {
-    return std::make_unique<ClientHandle>(context, clock, dialect);
+    return std::make_unique<ClientHandle>(context, clock, dialect, limits);
 }
 
 } // namespace rhubarbtiller::gateway
--- a/packages/gateway/lib/gatewayprocess.cpp
+++ b/packages/gateway/lib/gatewayprocess.cpp
@@ -195,6 +195,15 @@
     return record;
 }
 
+/// Leaves three quarters of the memory to the process itself, the tables, and answers on their way to callers.
+static AnswerLimits answerLimits(ByteCount memory)
+{
+    constexpr std::uint64_t Part = 4;
+    AnswerLimits limits;
+    limits.maxHeld = ByteCount(memory.count() / Part);
+    return limits;
+}
+
 GatewayProcess::Parts::Parts(asio::io_context &servingContext,
                              asio::io_context &controlContext,
                              GatewaySettings gatewaySettings,
@@ -210,7 +219,7 @@
     , directory(ownRecord(settings, clock), settings.entryHostsPerDomain, false)
     , quota(settings.quotaWindow)
     , retries(settings.retryBudget)
-    , backend(makeBackendClient(servingContext, clock, *platform.dialect))
+    , backend(makeBackendClient(servingContext, clock, *platform.dialect, answerLimits(settings.memory)))
     , flow{servingContext,
            clock,
            random,
--- a/packages/gateway/unittests/answerparsertest.cpp
+++ b/packages/gateway/unittests/answerparsertest.cpp
@@ -5,9 +5,11 @@
 using namespace rhubarbtiller;
 using namespace rhubarbtiller::gateway;
 
+static constexpr ByteCount MaxBody(8 * 1024 * 1024);
+
 TEST_CASE("an answer ends where its length says, and further bytes are left")
 {
-    AnswerParser parser(false);
+    AnswerParser parser(false, MaxBody);
     const std::string first = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nX: y\r\n\r\nabc";
     CHECK(parser.accept(first + "HTTP/1.1 200 OK\r\n") == first.size());
     REQUIRE(parser.isComplete());
@@ -19,7 +21,7 @@
 
 TEST_CASE("an answer may come byte by byte and in chunks")
 {
-    AnswerParser parser(false);
+    AnswerParser parser(false, MaxBody);
     const std::string text = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
     for (const char letter : text) {
         REQUIRE_FALSE(parser.isComplete());
@@ -31,7 +33,7 @@
 
 TEST_CASE("an answer without a body is complete at the end of its header")
 {
-    AnswerParser parser(false);
+    AnswerParser parser(false, MaxBody);
     const std::string text = "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n";
     CHECK(parser.accept(text) == text.size());
     CHECK(parser.isComplete());
@@ -39,7 +41,7 @@
 
 TEST_CASE("an interim answer is passed over")
 {
-    AnswerParser parser(false);
+    AnswerParser parser(false, MaxBody);
     parser.accept("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx");
     REQUIRE(parser.isComplete());
     CHECK(parser.take().status == 200);
@@ -47,7 +49,7 @@
 
 TEST_CASE("an answer without a length ends with its connection and keeps none")
 {
-    AnswerParser parser(false);
+    AnswerParser parser(false, MaxBody);
     parser.accept("HTTP/1.1 200 OK\r\n\r\npart");
     CHECK_FALSE(parser.isComplete());
     CHECK(parser.finish());
@@ -57,21 +59,21 @@
 
 TEST_CASE("an answer that breaks off is not complete")
 {
-    AnswerParser parser(false);
+    AnswerParser parser(false, MaxBody);
     parser.accept("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\npart");
     CHECK_FALSE(parser.finish());
 }
 
 TEST_CASE("bytes that are no answer are malformed")
 {
-    AnswerParser parser(false);
+    AnswerParser parser(false, MaxBody);
     parser.accept("garbage garbage\r\n\r\n");
     CHECK(parser.isMalformed());
 }
 
 TEST_CASE("the answer to a HEAD has no body")
 {
-    AnswerParser parser(true);
+    AnswerParser parser(true, MaxBody);
     parser.accept("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n");
     CHECK(parser.isComplete());
 }
@@ -79,7 +81,7 @@
 /// Returns whether the first \p size bytes of \p text and the end of the connection make a whole answer.
 static bool isWholeWhenCut(const std::string &text, std::size_t size, bool isHead)
 {
-    AnswerParser parser(isHead);
+    AnswerParser parser(isHead, MaxBody);
     if (size > 0) {
         parser.accept(std::string_view(text).substr(0, size));
     }
@@ -124,7 +126,7 @@
 
 TEST_CASE("the trailer of a chunked answer changes none of its headers")
 {
-    AnswerParser parser(false);
+    AnswerParser parser(false, MaxBody);
     parser.accept("HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\nNot-Run: yes\r\nId: 2\r\n\r\n");
     REQUIRE(parser.isComplete());
     const auto response = parser.take();
@@ -133,3 +135,37 @@
     CHECK(findHeader(response.headers, "not-run").empty());
     CHECK(response.headers.size() == 2);
 }
+
+/// Returns how many bytes a parser takes of \p start and then of \p repeated without end; \p most if it does not stop.
+static std::size_t bytesTaken(const std::string &start, const std::string &repeated, std::size_t most)
+{
+    AnswerParser parser(false, MaxBody);
+    std::size_t taken = start.empty() ? 0 : parser.accept(start);
+    while (!parser.isMalformed() && taken < most) {
+        REQUIRE_FALSE(parser.isComplete());
+        taken += parser.accept(repeated);
+    }
+    return taken;
+}
+
+TEST_CASE("an answer whose bytes never end is malformed before they fill the memory")
+{
+    static constexpr std::size_t Mebi = 1024 * 1024;
+    static constexpr std::size_t MostHead = Mebi;
+    static constexpr std::size_t MostAnswer = 80 * Mebi;
+    const std::string chunkedHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string filler(1000, 'x');
+    CHECK(bytesTaken("", "\r\n", MostHead) < MostHead);
+    CHECK(bytesTaken("HTTP/1.1 200 ", filler, MostHead) < MostHead);
+    CHECK(bytesTaken("HTTP/1.1 200 OK\r\n", filler, MostHead) < MostHead);
+    CHECK(bytesTaken("HTTP/1.1 200 OK\r\nX: ", filler, MostHead) < MostHead);
+    CHECK(bytesTaken("HTTP/1.1 200 OK\r\n", "X: y\r\n", MostHead) < MostHead);
+    CHECK(bytesTaken("HTTP/1.1 200 OK\r\nX: y\r\n", " folded\r\n", MostHead) < MostHead);
+    CHECK(bytesTaken("", "HTTP/1.1 100 Continue\r\nX: y\r\n\r\n", MostHead) < MostHead);
+    CHECK(bytesTaken(chunkedHead + "1;", filler, MostHead) < MostHead);
+    CHECK(bytesTaken(chunkedHead, "0", MostHead) < MostHead);
+    CHECK(bytesTaken(chunkedHead + "0\r\n", "X: y\r\n", MostHead) < MostHead);
+    CHECK(bytesTaken(chunkedHead, "1;" + filler + "\r\nx\r\n", MostHead) < MostHead);
+    CHECK(bytesTaken(chunkedHead, "3e8\r\n" + filler + "\r\n", MostAnswer) < MostAnswer);
+    CHECK(bytesTaken("HTTP/1.1 200 OK\r\n\r\n", filler, MostAnswer) < MostAnswer);
+}
--- a/packages/gateway/unittests/backendclienttest.cpp
+++ b/packages/gateway/unittests/backendclienttest.cpp
@@ -18,7 +18,8 @@
 class BackendFixture
 {
 public:
-    explicit BackendFixture(RawConnection::RequestHandler handler) : server(this->context, std::move(handler))
+    explicit BackendFixture(RawConnection::RequestHandler handler, AnswerLimits limits = {})
+        : server(this->context, std::move(handler)), client(makeBackendClient(this->context, this->clock, this->dialect, limits))
     {
         this->server.start(Endpoint("127.0.0.1:0"));
     }
@@ -56,7 +57,7 @@
     PlainDialect dialect;
     testing::RawHttpServer server;
     std::optional<Endpoint> target;
-    std::unique_ptr<BackendClient> client = makeBackendClient(this->context, this->clock, this->dialect);
+    std::unique_ptr<BackendClient> client;
     std::shared_ptr<BackendAttempt> lastAttempt;
 };
 
@@ -185,3 +186,72 @@
     CHECK_FALSE(isReported);
     CHECK(attempt->wasSent());
 }
+
+TEST_CASE("answers to other requests without end break the attempt")
+{
+    std::uint64_t sent = 0;
+    std::shared_ptr<RawConnection> flooding;
+    BackendFixture fixture([&](const http::HttpRequest &, const std::shared_ptr<RawConnection> &connection) {
+        flooding = connection;
+    });
+    std::optional<AttemptOutcome> result;
+    fixture.lastAttempt = fixture.client->send(fixture.call("2"), [&result](AttemptOutcome outcome) {
+        result = std::move(outcome);
+    });
+    const auto flood = answerFor("1", std::string(100'000, 'x'));
+    const auto until = std::chrono::steady_clock::now() + 10s;
+    while (!result && std::chrono::steady_clock::now() < until) {
+        if (flooding && sent < 100'000'000) {
+            flooding->sendRaw(flood, false);
+            sent += flood.size();
+        }
+        fixture.context.restart();
+        fixture.context.run_for(2ms);
+    }
+    REQUIRE(result);
+    CHECK(result->end == AttemptEnd::Broken);
+    CHECK(sent < 50'000'000);
+}
+
+TEST_CASE("answers without end at many connections stay within the memory for answers")
+{
+    static constexpr int Endless = 20;
+    static constexpr ByteCount Most(4 * 1024 * 1024);
+    std::vector<std::shared_ptr<RawConnection>> flooding;
+    BackendFixture fixture(
+        [&flooding](const http::HttpRequest &request, const std::shared_ptr<RawConnection> &connection) {
+            const std::string id(findHeader(request.headers, "Id"));
+            if (id == "small") {
+                connection->respond({200, {{"Id", id}}, "ok"});
+                return;
+            }
+            connection->sendRaw("HTTP/1.1 200 OK\r\nId: " + id + "\r\n\r\n", false);
+            flooding.push_back(connection);
+        },
+        AnswerLimits{ByteCount(8 * 1024 * 1024), Most});
+    int broken = 0;
+    std::vector<std::shared_ptr<BackendAttempt>> attempts;
+    for (int i = 0; i < Endless; ++i) {
+        attempts.push_back(fixture.client->send(fixture.call(std::to_string(i)), [&broken](const AttemptOutcome &outcome) {
+            broken += outcome.end == AttemptEnd::Broken ? 1 : 0;
+        }));
+    }
+    const std::string filler(64 * 1024, 'x');
+    std::uint64_t most = 0;
+    const auto until = std::chrono::steady_clock::now() + 20s;
+    for (int round = 0; broken < Endless && round < 400 && std::chrono::steady_clock::now() < until; ++round) {
+        for (const auto &connection : flooding) {
+            connection->sendRaw(filler, false);
+        }
+        fixture.context.restart();
+        fixture.context.run_for(5ms);
+        most = std::max(most, fixture.client->heldBytes().count());
+        if (round == 100) {
+            CHECK(fixture.send("small")->response.body == "ok");
+        }
+    }
+    CHECK(most <= Most.count());
+    CHECK(most > 0);
+    CHECK(broken == Endless);
+    CHECK(fixture.client->heldBytes().count() == 0);
+}
--- a/packages/gateway/unittests/requestflowtest.cpp
+++ b/packages/gateway/unittests/requestflowtest.cpp
@@ -53,6 +53,11 @@
     {
     }
 
+    ByteCount heldBytes() const override
+    {
+        return ByteCount(0);
+    }
+
     std::uint64_t connectionsOpened() const override
     {
         return 0;
