Show that an earlier refusal written once more answers no other request

Played here over real sockets: the copy in the segment of the first one, on the idle connection, just before the next answer, and split in two, each with and without the request's id. The next request ran once in all eight, and its caller got its own answer, or a broken attempt (502) where a copy without an id can't be told from the answer. So it can't happen on the gateway's path; nothing was changed.

--- a/packages/gateway/unittests/backendclienttest.cpp
+++ b/packages/gateway/unittests/backendclienttest.cpp
@@ -187,6 +187,77 @@
     CHECK(attempt->wasSent());
 }
 
+/// A refusal of an earlier request, as a faulty server writes it once more.
+static std::string refusalOf(const std::string &id)
+{
+    return "HTTP/1.1 503 Full\r\n" + (id.empty() ? "" : "Id: " + id + "\r\n") + "Not-Run: yes\r\nContent-Length: 2\r\n\r\nno";
+}
+
+/// When a server writes a refusal of the first request once more.
+enum class Again {
+    WithTheFirst,
+    WhileIdle,
+    BeforeTheSecondAnswer,
+    InTwoParts,
+};
+
+// A repeated refusal must not tell the caller of a request that ran that it did not.
+TEST_CASE("an earlier refusal that is written once more answers no other request")
+{
+    for (const bool hasId : {true, false}) {
+        for (const auto again : {Again::WithTheFirst, Again::WhileIdle, Again::BeforeTheSecondAnswer, Again::InTwoParts}) {
+            CAPTURE(hasId);
+            CAPTURE(static_cast<int>(again));
+            int runs = 0;
+            asio::steady_timer *timer = nullptr;
+            BackendFixture fixture([&](const http::HttpRequest &request, const std::shared_ptr<RawConnection> &connection) {
+                const std::string id(findHeader(request.headers, "Id"));
+                const auto copy = refusalOf(hasId ? "1" : "");
+                if (id == "1") {
+                    connection->sendRaw(refusalOf(id) + (again == Again::WithTheFirst ? copy : ""), false);
+                    connection->finishRequest();
+                    if (again == Again::WhileIdle) {
+                        timer->expires_after(10ms);
+                        timer->async_wait([connection, copy](std::error_code) {
+                            connection->sendRaw(copy, false);
+                        });
+                    }
+                    return;
+                }
+                ++runs;
+                if (again == Again::BeforeTheSecondAnswer) {
+                    connection->sendRaw(copy, false);
+                } else if (again == Again::InTwoParts) {
+                    connection->sendRaw(copy.substr(0, copy.size() / 2), false);
+                }
+                timer->expires_after(20ms);
+                timer->async_wait([connection, id, copy, again](std::error_code) {
+                    const auto rest = again == Again::InTwoParts ? copy.substr(copy.size() / 2) : "";
+                    connection->sendRaw(rest + answerFor(id, "own"), false);
+                    connection->finishRequest();
+                });
+            });
+            asio::steady_timer serverTimer(fixture.context);
+            timer = &serverTimer;
+            const auto first = fixture.send("1");
+            REQUIRE(first);
+            CHECK(first->response.status == 503);
+            if (again == Again::WhileIdle) {
+                fixture.context.restart();
+                fixture.context.run_for(50ms);
+            }
+            const auto second = fixture.send("2");
+            REQUIRE(second);
+            CHECK(runs == 1);
+            // Either its own answer or none.
+            CHECK((second->end == AttemptEnd::Broken || second->response.body == "own"));
+            if (hasId || again == Again::WithTheFirst || again == Again::WhileIdle) {
+                CHECK(second->end == AttemptEnd::Answered);
+            }
+        }
+    }
+}
+
 TEST_CASE("answers to other requests without end break the attempt")
 {
     std::uint64_t sent = 0;
