Bound the framing of chunked responses (first mode)

The client counts the bytes beside the body and gives up beyond 256 KiB and eight for each byte of the body.

--- a/packages/http/lib/curlhttpclient.cpp
+++ b/packages/http/lib/curlhttpclient.cpp
@@ -60,6 +60,8 @@
     std::string body;
     std::size_t maxHeaderBytes = 0;
     std::size_t headerBytes = 0;
+    /// Bytes of the response as they came over the connection.
+    std::uint64_t received = 0;
     /// Connections that libcurl was about to write the request to.
     int attempts = 0;
     /// Whether the kept connection was closed, or held bytes that belong to no request, before this one was written.
@@ -174,6 +176,12 @@
 
 } // namespace
 
+/// Bytes beside the body of a response for which there is always room: the framing of chunks.
+static constexpr std::uint64_t FreeOverhead = 256 * 1024;
+
+/// Further bytes beside the body for each byte of it; a chunk of one byte has five.
+static constexpr std::uint64_t OverheadPerBodyByte = 8;
+
 static bool initialiseCurl()
 {
     return curl_global_init(CURL_GLOBAL_DEFAULT) == CURLE_OK;
@@ -261,8 +269,11 @@
 // libcurl 7.88 drops bytes that follow a chunked response or one without a body and keeps the connection for reuse. It
 // tells of them in its log only, and the rest of them could still be on the way; the unit test of trailing bytes fails
 // if a later version words this in another way.
-static int onDebug(CURL *easy, curl_infotype type, char *data, std::size_t size, void *)
+static int onDebug(CURL *easy, curl_infotype type, char *data, std::size_t size, void *pointer)
 {
+    if (type == CURLINFO_DATA_IN) {
+        static_cast<CurlCall *>(pointer)->received += size;
+    }
     if (type == CURLINFO_TEXT) {
         const std::string_view text(data, size);
         if (text.starts_with("Excess found") || text.starts_with("Leftovers after chunking")) {
@@ -272,6 +283,18 @@
     return 0;
 }
 
+// libcurl passes over the extensions of chunks without a bound.
+static int onProgress(void *pointer, curl_off_t, curl_off_t, curl_off_t, curl_off_t)
+{
+    auto &call = *static_cast<CurlCall *>(pointer);
+    const std::uint64_t body = call.body.size();
+    if (call.received <= body + FreeOverhead + OverheadPerBodyByte * body) {
+        return 0;
+    }
+    call.abortReason = HttpError::OversizedResponse;
+    return 1;
+}
+
 static std::error_code fromCurlCode(CURLcode code, int attempts)
 {
     switch (code) {
@@ -438,6 +461,10 @@
     curl_easy_setopt(easy, CURLOPT_PREREQDATA, &call);
     curl_easy_setopt(easy, CURLOPT_VERBOSE, 1L);
     curl_easy_setopt(easy, CURLOPT_DEBUGFUNCTION, &onDebug);
+    curl_easy_setopt(easy, CURLOPT_DEBUGDATA, &call);
+    curl_easy_setopt(easy, CURLOPT_NOPROGRESS, 0L);
+    curl_easy_setopt(easy, CURLOPT_XFERINFOFUNCTION, &onProgress);
+    curl_easy_setopt(easy, CURLOPT_XFERINFODATA, &call);
     curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, &CurlDriver::onOpenSocket);
     curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, this);
     curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &CurlDriver::onCloseSocket);
--- a/packages/http/unittests/httpclienttest.cpp
+++ b/packages/http/unittests/httpclienttest.cpp
@@ -184,6 +184,45 @@
     CHECK(outcomeOf("HTTP/1.1 302 Found\r\nLocation: http://127.0.0.1:1/\r\nContent-Length: 0\r\n\r\n").response->status == 302);
 }
 
+// Guards against a server whose bytes never end, in a head, a row of interim responses, a trailer or the framing of chunks.
+TEST_CASE("client stops reading a response whose bytes beside the body never end")
+{
+    const std::string chunkedHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string filler(1000, 'x');
+    // Buffers of the sockets on both sides take some megabytes.
+    static constexpr std::size_t Most = 32 * 1024 * 1024;
+    for (const auto &[start, repeated] : {std::pair<std::string, std::string>("", "\r\n"),
+                                          {"HTTP/1.1 200 OK\r\nX: ", filler},
+                                          {"HTTP/1.1 200 OK\r\n", "X: y\r\n"},
+                                          {"", "HTTP/1.1 100 Continue\r\nX: y\r\n\r\n"},
+                                          {chunkedHead + "1;", filler},
+                                          {chunkedHead, "1;" + filler + "\r\nx\r\n"},
+                                          {chunkedHead + "0\r\n", "X: y\r\n"}}) {
+        CAPTURE(start);
+        CAPTURE(repeated.substr(0, 40));
+        std::atomic<std::size_t> written{0};
+        RawServer server([&, first = start, more = repeated](asio::ip::tcp::socket &socket, int) {
+            RawServer::readRequest(socket);
+            std::string block = first;
+            while (block.size() < 16 * 1024) {
+                block += more;
+            }
+            std::error_code error;
+            // Twice what is allowed, so that a client that goes on reading shows.
+            while (!error && written < 2 * Most) {
+                written += asio::write(socket, asio::buffer(block), error);
+                block = block.starts_with(first) && !first.empty() ? block.substr(first.size()) : block;
+            }
+            RawServer::waitForEnd(socket);
+        });
+        ClientFixture fixture;
+        const auto outcome = fixture.run(fixture.call(server.endpoint(), "GET"));
+        REQUIRE_FALSE(outcome.response);
+        CHECK(outcome.response.error() != HttpError::Timeout);
+        CHECK(written < Most);
+    }
+}
+
 // Guards against a server that makes the host hold more of a response than allowed.
 TEST_CASE("client stops reading an oversized response")
 {
