Let entry hosts that start at once hear each other at once

Cause: an entry host learned of one in another group by a mention, once a second, and then sent it beats without addresses, of which one in four has them; the other could not answer before that. Now a newly heard entry host is mentioned at once, a newly mentioned host gets a beat at once, and hosts that were not heard yet get the addresses in each beat.

--- a/packages/balance/include/rhubarbtiller/balance/hostdirectory.h
+++ b/packages/balance/include/rhubarbtiller/balance/hostdirectory.h
@@ -59,8 +59,8 @@
 
     /// Notes a host that another source named; it counts as living only once it is heard.
     ///
-    /// Precondition: \p now does not go back.
-    void onMentioned(const HostRecord &record, MonotonicTime now);
+    /// Returns whether it was neither heard nor named lately. Precondition: \p now does not go back.
+    bool onMentioned(const HostRecord &record, MonotonicTime now);
 
     /// Decides whether this host is an entry host; to be called a few times a second. Precondition: \p now does not go back.
     void updateClaim(MonotonicTime now);
--- a/packages/balance/lib/hostdirectory.cpp
+++ b/packages/balance/lib/hostdirectory.cpp
@@ -64,13 +64,14 @@
     return isKnown ? &found->second.record : nullptr;
 }
 
-void HostDirectory::onMentioned(const HostRecord &record, MonotonicTime now)
+bool HostDirectory::onMentioned(const HostRecord &record, MonotonicTime now)
 {
     if (record.id == this->self.id) {
-        return;
+        return false;
     }
     const auto [entry, isNew] = this->hosts.try_emplace(record.id);
     auto &known = entry->second;
+    const bool isNews = !(known.isHeard && now < known.livesUntil) && (now >= known.mentionedUntil || !known.record.isServing);
     // What a host says itself is better than what others say of it.
     if (!known.isHeard || now >= known.livesUntil) {
         known.record = record;
@@ -78,6 +79,7 @@
         known.forgottenAt = now + ForgetTime;
     }
     known.mentionedUntil = now + MentionValidity;
+    return isNews;
 }
 
 void HostDirectory::onListed(const HostRecord &record, MonotonicTime now)
--- a/packages/gateway/lib/peerlink.cpp
+++ b/packages/gateway/lib/peerlink.cpp
@@ -156,9 +156,19 @@
         return;
     }
     const auto record = recordOf(*senderBeat);
+    const auto *const before = this->parts.directory.findHeard(record.id, record.incarnation);
+    const bool isNewEntryHost = record.isEntry && (before == nullptr || !before->isEntry);
     this->parts.directory.onBeat(record, now);
+    bool isNews = false;
     for (const auto &mentioned : datagram->mentioned) {
-        this->parts.directory.onMentioned(recordOf(mentioned), now);
+        isNews = this->parts.directory.onMentioned(recordOf(mentioned), now) || isNews;
+    }
+    // Until all entry hosts hear each other, groups of them share each rate by themselves.
+    if (isNewEntryHost && this->isEntryHost) {
+        this->nextMentionAt = now;
+    }
+    if ((isNewEntryHost || isNews) && this->isServing) {
+        this->nextBeatAt = now;
     }
     if (datagram->__isset.evidence || datagram->__isset.loads) {
         std::vector<balance::EvidenceReport> evidence;
@@ -348,15 +358,15 @@
     if (!this->isServing && !own.isLeaving) {
         return;
     }
-    // Bytes between failure domains are paid for.
+    // Bytes between failure domains are paid for; a host that was not heard may not know the addresses yet.
     const bool namesAddresses = datagram.__isset.mentioned || this->briefBeats++ % BeatsPerAddress == 0;
-    if (!namesAddresses) {
-        datagram.__isset.sender = false;
-        datagram.__set_brief(this->ownBrief());
-    }
+    auto brief = datagram;
+    brief.__isset.sender = false;
+    brief.__set_brief(this->ownBrief());
     for (const auto *const host : this->parts.directory.servingPeers(now)) {
         if (host->failureDomain != own.failureDomain) {
-            this->send(datagram, host->peerAddress);
+            const bool isHeard = this->parts.directory.findHeard(host->id, host->incarnation) != nullptr;
+            this->send(namesAddresses || !isHeard ? datagram : brief, host->peerAddress);
         }
     }
 }
--- /dev/null
+++ b/packages/gateway/unittests/peerlinktest.cpp
@@ -0,0 +1,146 @@
+#include "peerlink.h"
+#include "fakes.h"
+
+#include <rhubarbtiller/testing/fakehttpclient.h>
+
+#include <doctest/doctest.h>
+
+#include <asio/io_context.hpp>
+
+using namespace rhubarbtiller;
+using namespace rhubarbtiller::gateway;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// One host of a fleet on loopback; its store never answers.
+class LinkedHost
+{
+public:
+    LinkedHost(asio::io_context &context, const Clock &hostClock, balance::HostRecord record)
+        : clock(hostClock)
+        , random(record.incarnation.count())
+        , directory(std::move(record), 2, false)
+        , sync({context,
+                this->clock,
+                this->random,
+                this->source,
+                this->decoder,
+                this->http,
+                this->state,
+                this->directory.own().failureDomain,
+                [] {
+                }})
+        , link({context,
+                this->clock,
+                this->random,
+                this->directory,
+                this->board,
+                this->quota,
+                this->sync,
+                {FailureDomainId("a"), FailureDomainId("b"), FailureDomainId("c")},
+                {},
+                [](const PeerStanding &) {
+                },
+                this->retries,
+                [] {
+                    return MonotonicTime();
+                }})
+    {
+    }
+
+    const Clock &clock;
+    SeededRandom random;
+    FakeSource source;
+    PlainDecoder decoder;
+    testing::FakeHttpClient http{[](const http::HttpCall &) {
+        return http::HttpOutcome{make_error_code(SourceError::Unavailable), false};
+    }};
+    RcuCell<catalog::FleetState> state;
+    balance::HostDirectory directory;
+    balance::Scoreboard board;
+    balance::OrganisationQuota quota{5s};
+    balance::RetryBudget retries{balance::RetryBudgetBounds()};
+    StateSync sync;
+    PeerLink link;
+};
+
+/// Returns loopback addresses with different ports that were free a moment ago.
+std::vector<Endpoint> freeAddresses(asio::io_context &context, std::size_t count)
+{
+    std::vector<asio::ip::udp::socket> probes;
+    std::vector<Endpoint> addresses;
+    for (std::size_t i = 0; i < count; ++i) {
+        const auto &probe = probes.emplace_back(context, asio::ip::udp::endpoint(asio::ip::address_v4::loopback(), 0));
+        addresses.emplace_back("127.0.0.1:" + std::to_string(probe.local_endpoint().port()));
+    }
+    return addresses;
+}
+
+balance::HostRecord recordFor(const std::string &id, const Endpoint &address, std::uint64_t incarnation)
+{
+    balance::HostRecord record;
+    record.id = HostId(id);
+    record.failureDomain = FailureDomainId(id.substr(0, 1));
+    record.callerAddress = address;
+    record.peerAddress = address;
+    record.controlAddress = address;
+    record.incarnation = Incarnation(incarnation);
+    return record;
+}
+
+} // namespace
+
+// Until the entry hosts hear each other, each group of them takes more than its part of a rate.
+TEST_CASE("entry hosts of two groups that start at once hear each other within a second")
+{
+    static constexpr int EntryHosts = 6;
+    asio::io_context context;
+    const SystemClock clock;
+    const auto addresses = freeAddresses(context, 15);
+    std::vector<balance::HostRecord> records;
+    for (int number = 1; number <= 5; ++number) {
+        for (const std::string domain : {"a", "b", "c"}) {
+            records.push_back(recordFor(domain + std::to_string(number), addresses[records.size()], records.size() + 1));
+        }
+    }
+    std::vector<std::unique_ptr<LinkedHost>> hosts;
+    for (const auto &record : records) {
+        hosts.push_back(std::make_unique<LinkedHost>(context, clock, record));
+        auto &directory = hosts.back()->directory;
+        for (const auto &other : records) {
+            // Entry hosts know those of other failure domains that have their number, and the standby hosts.
+            const bool isOwnDomain = other.failureDomain == record.failureDomain;
+            const bool isSameGroup = other.id.text().back() == record.id.text().back();
+            if (isOwnDomain || isSameGroup || other.id.text().back() > '2') {
+                directory.onListed(other, clock.now());
+            }
+        }
+        directory.setOthersKnown();
+    }
+    for (const auto &host : hosts) {
+        REQUIRE_FALSE(host->link.start());
+    }
+    const auto hearAll = [&hosts, &clock] {
+        return std::all_of(hosts.begin(), hosts.begin() + EntryHosts, [&clock](const auto &host) {
+            return host->directory.allEntryHosts(clock.now()).size() == EntryHosts;
+        });
+    };
+    const auto areEntryHosts = [&hosts] {
+        return std::all_of(hosts.begin(), hosts.begin() + EntryHosts, [](const auto &host) {
+            return host->directory.isEntryHost();
+        });
+    };
+    const auto begin = clock.now();
+    while (!areEntryHosts() && clock.now() - begin < 10s) {
+        context.run_for(10ms);
+    }
+    REQUIRE(areEntryHosts());
+    const auto entered = clock.now();
+    while (!hearAll() && clock.now() - entered < 10s) {
+        context.run_for(10ms);
+    }
+    const auto taken = std::chrono::duration_cast<std::chrono::milliseconds>(clock.now() - entered);
+    MESSAGE("all entry hosts are heard everywhere " << taken.count() << " ms after the last became one");
+    CHECK(taken < 1s);
+}
