Let a host that was heard as a standby host get beats once others name it as an entry host

Cause: each starting host asks the seeds. So these hear it while it stands by, and what a host says itself went before what others say of it later, for three beats of a standby host (4.5 s). Mentions of it as an entry host were dropped, and it got no beat.

A mention of a host that serves now counts although it was heard as a standby host of the same incarnation; callers are still not sent there before it says so itself. The test of the directory failed before.

--- a/packages/balance/lib/hostdirectory.cpp
+++ b/packages/balance/lib/hostdirectory.cpp
@@ -71,12 +71,16 @@
     }
     const auto [entry, isNew] = this->hosts.try_emplace(record.id);
     auto &known = entry->second;
-    const bool isNews = !(known.isHeard && now < known.livesUntil) && (now >= known.mentionedUntil || !known.record.isServing);
-    // What a host says itself is better than what others say of it.
-    if (!known.isHeard || now >= known.livesUntil) {
+    const bool lives = known.isHeard && now < known.livesUntil;
+    const bool servesNews = record.isServing && record.incarnation == known.record.incarnation && !known.record.isServing;
+    const bool isNews = servesNews || (!lives && (now >= known.mentionedUntil || !known.record.isServing));
+    // What a host says itself is better than what others say of it, but it may have begun to serve since.
+    if (!lives) {
         known.record = record;
         known.isHeard = false;
         known.forgottenAt = now + ForgetTime;
+    } else if (servesNews) {
+        known.record.isServing = true;
     }
     known.mentionedUntil = now + MentionValidity;
     return isNews;
--- a/packages/balance/unittests/hostdirectorytest.cpp
+++ b/packages/balance/unittests/hostdirectorytest.cpp
@@ -258,3 +258,23 @@
     directory.updateClaim(clock.now());
     CHECK(directory.isEntryHost());
 }
+
+// A host that starts asks the seeds while it stands by; what these heard then must not hide what others say of it later.
+TEST_CASE("a host that was heard as a standby host gets beats once others name it as an entry host")
+{
+    testing::VirtualClock clock;
+    HostDirectory directory(record("a1", "a", 1), 2);
+    auto other = record("b1", "b", 2);
+    other.beatInterval = 1500ms;
+    directory.onBeat(other, clock.now());
+    CHECK(directory.servingPeers(clock.now()).empty());
+    clock.advance(500ms);
+    const auto named = entryRecord("b1", "b", 2);
+    CHECK(directory.onMentioned(named, clock.now()));
+    REQUIRE(directory.servingPeers(clock.now()).size() == 1);
+    // It is not named to callers before it says so itself.
+    CHECK(directory.allEntryHosts(clock.now()).empty());
+    CHECK_FALSE(directory.onMentioned(named, clock.now()));
+    directory.onBeat(other, clock.now());
+    CHECK(directory.servingPeers(clock.now()).empty());
+}
--- a/packages/gateway/lib/peerlink.cpp
+++ b/packages/gateway/lib/peerlink.cpp
@@ -169,6 +169,8 @@
     }
     if ((isNewEntryHost || isNews) && this->isServing) {
         this->nextBeatAt = now;
+        // A host that is named by others may have forgotten the addresses of this one.
+        this->briefBeats = 0;
     }
     if (datagram->__isset.evidence || datagram->__isset.loads) {
         std::vector<balance::EvidenceReport> evidence;
