Keep the bound of framing bytes in one place, and forget the evidence of services without servers

Evidence by service was kept after the last server of a service had gone.

balance_tests, gateway_tests and http_tests pass.

--- a/packages/balance/lib/scoreboard.cpp
+++ b/packages/balance/lib/scoreboard.cpp
@@ -240,6 +240,9 @@
         state.slots = entry.slots;
     }
     this->servers = std::move(kept);
+    std::erase_if(this->evidenceByService, [&table](const auto &entry) {
+        return table.serversOf(entry.first).empty();
+    });
 }
 
 } // namespace rhubarbtiller::balance
--- a/packages/gateway/lib/answerparser.cpp
+++ b/packages/gateway/lib/answerparser.cpp
@@ -1,12 +1,8 @@
 #include "answerparser.h"
 
-namespace rhubarbtiller::gateway {
-
-/// Bytes beside the body for which there is always room: the head, interim answers and the framing of chunks.
-static constexpr std::uint64_t FreeOverhead = 256 * 1024;
+#include <rhubarbtiller/http/framingoverhead.h>
 
-/// Further bytes beside the body for each byte of it; a chunk of one byte has five.
-static constexpr std::uint64_t OverheadPerBodyByte = 8;
+namespace rhubarbtiller::gateway {
 
 /// What http_parser expects from a headers callback when no body follows.
 static constexpr int SkipBody = 1;
@@ -98,9 +94,8 @@
     if (fault == HPE_PAUSED) {
         return used;
     }
-    const std::uint64_t body = this->response.body.size();
-    const bool isPadded = this->taken - body > FreeOverhead + OverheadPerBodyByte * body;
-    this->malformed = fault != HPE_OK || this->parser.upgrade != 0 || isPadded;
+    const bool isEndless = http::isOverheadEndless(ByteCount(this->taken), ByteCount(this->response.body.size()));
+    this->malformed = fault != HPE_OK || this->parser.upgrade != 0 || isEndless;
     return used;
 }
 
--- a/packages/http/lib/curlhttpclient.cpp
+++ b/packages/http/lib/curlhttpclient.cpp
@@ -1,6 +1,7 @@
 #include <rhubarbtiller/http/curlhttpclient.h>
 
 #include <rhubarbtiller/http/errors.h>
+#include <rhubarbtiller/http/framingoverhead.h>
 
 #include "responseframing.h"
 #include <rhubarbtiller/http/endpoints.h>
@@ -176,12 +177,6 @@
 
 } // namespace
 
-/// Bytes beside the body of a response for which there is always room: the framing of chunks.
-static constexpr std::uint64_t FreeOverhead = 256 * 1024;
-
-/// Further bytes beside the body for each byte of it; a chunk of one byte has five.
-static constexpr std::uint64_t OverheadPerBodyByte = 8;
-
 static bool initialiseCurl()
 {
     return curl_global_init(CURL_GLOBAL_DEFAULT) == CURLE_OK;
@@ -287,8 +282,8 @@
 static int onProgress(void *pointer, curl_off_t, curl_off_t, curl_off_t, curl_off_t)
 {
     auto &call = *static_cast<CurlCall *>(pointer);
-    const std::uint64_t body = call.body.size();
-    if (call.received <= body + FreeOverhead + OverheadPerBodyByte * body) {
+    const ByteCount body(call.body.size());
+    if (!isOverheadEndless(std::max(ByteCount(call.received), body), body)) {
         return 0;
     }
     call.abortReason = HttpError::OversizedResponse;
