--- a/packages/gateway/lib/settings.cpp
+++ b/packages/gateway/lib/settings.cpp
@@ -62,7 +62,7 @@
     constexpr std::uint64_t BytesPerMegabyte = 1024 * 1024;
     constexpr double LeastMegabytes = 16;
     constexpr double MaxMegabytes = 1024 * 1024;
-    const double defaultMegabytes = static_cast<double>(settings.memory.count() / BytesPerMegabyte);
+    const auto defaultMegabytes = static_cast<double>(settings.memory.count()) / BytesPerMegabyte;
     settings.memory = ByteCount(static_cast<std::uint64_t>(reader.number("memoryMb", defaultMegabytes, LeastMegabytes, MaxMegabytes))
                                 * BytesPerMegabyte);
     settings.retryBudget = readRetryBudget(reader.object("retryBudget", false), reader.pathOf("retryBudget"), problems);
