--- a/packages/telemetry/unittests/telemetrytest.cpp
+++ b/packages/telemetry/unittests/telemetrytest.cpp
@@ -163,6 +163,8 @@
     metrics.setVotesHeld(12);
     metrics.setShardsOwned(4);
     metrics.setPeersConnected(13);
+    metrics.setLeastUsedServers(0.75);
+    metrics.setMostUnserved(0.125);
     metrics.countStoreError("read_item");
     metrics.countControlBytes(ByteCount(100));
     metrics.countControlCpu(std::chrono::milliseconds(250));
@@ -178,13 +180,15 @@
                                "rhubarbtiller_votes_held 12",
                                "rhubarbtiller_shards_owned 4",
                                "rhubarbtiller_peers_connected 13",
+                               "rhubarbtiller_least_used_servers_ratio 0.75",
+                               "rhubarbtiller_most_unserved_ratio 0.125",
                                "rhubarbtiller_store_errors_total{operation=\"read_item\"} 1",
                                "rhubarbtiller_control_bytes_total 100",
                                "rhubarbtiller_control_cpu_seconds_total 0.25"}) {
         CAPTURE(sample);
         CHECK(text.find(std::string(sample) + "\n") != std::string::npos);
     }
-    CHECK(occurrences(text, "# HELP ") == 14);
+    CHECK(occurrences(text, "# HELP ") == 16);
 }
 
 // Guards against memory that grows with label values that were not meant as such.
