--- a/packages/balance/unittests/placementtest.cpp
+++ b/packages/balance/unittests/placementtest.cpp
@@ -402,6 +402,45 @@
     CHECK(isTriedAfter(1050ms));
 }
 
+TEST_CASE("while a service does well, servers are tried once their estimate has recovered")
+{
+    PlacementFixture fixture(2);
+    fixture.query.trials = Trials::Few;
+    const BackendServerId failed("s0");
+    fixture.board.observe(failed, Evidence::BrokenAnswer, fixture.clock.now());
+    fixture.board.observe(failed, Evidence::BrokenAnswer, fixture.clock.now());
+    Duration triedAfter{};
+    for (int i = 0; i < 100 && triedAfter == 0ms; ++i) {
+        fixture.board.observe(BackendServerId("s1"), Evidence::Success, fixture.clock.now());
+        const auto placement = fixture.choose();
+        REQUIRE(placement.server != nullptr);
+        CHECK(placement.isTrial == (placement.server->id == failed));
+        triedAfter = placement.isTrial ? i * 100ms : 0ms;
+        fixture.clock.advance(100ms);
+    }
+    CHECK(triedAfter > 4s);
+    CHECK(triedAfter < 6s);
+    fixture.query.trials = Trials::None;
+    CHECK(fixture.choose().server->id != failed);
+}
+
+TEST_CASE("evidence of all hosts says that a service fails its callers, silence included")
+{
+    PlacementFixture fixture(4);
+    const auto now = fixture.clock.now();
+    for (int i = 0; i < 50; ++i) {
+        fixture.board.onRemote(HostId("other"), {{BackendServerId("s1"), Evidence::Success}}, {}, now);
+    }
+    for (int i = 0; i < 4; ++i) {
+        fixture.board.onRemote(HostId("other"), {{BackendServerId("s0"), Evidence::Overdue}}, {}, now);
+    }
+    CHECK_FALSE(fixture.board.isFailing(Service, now));
+    fixture.board.observe(BackendServerId("s0"), Evidence::Overdue, now);
+    CHECK(fixture.board.isFailing(Service, now));
+    CHECK_FALSE(fixture.board.isFailing(catalog::ServiceName("other"), now));
+    CHECK_FALSE(fixture.board.isFailing(Service, now + 3s));
+}
+
 TEST_CASE("a server that refused connections for a while is tried again although others serve")
 {
     PlacementFixture fixture(3);
--- a/packages/balance/unittests/serviceoutcomestest.cpp
+++ b/packages/balance/unittests/serviceoutcomestest.cpp
@@ -62,3 +62,33 @@
     clock.advance(5s);
     CHECK(outcomes.recent(clock.now()).empty());
 }
+
+TEST_CASE("while a service does well, one in ten requests may be used for a trial")
+{
+    testing::VirtualClock clock;
+    ServiceOutcomes outcomes;
+    int trials = 0;
+    for (int i = 0; i < 200; ++i) {
+        outcomes.note(Service, true, false, clock.now());
+        if (outcomes.trials(Service, false, clock.now()) == Trials::Few) {
+            outcomes.onTrial(Service);
+            ++trials;
+        }
+        clock.advance(10ms);
+    }
+    // Ten tenths may sum up to a little less than one.
+    CHECK(trials >= 19);
+    CHECK(trials <= 20);
+}
+
+TEST_CASE("all requests may be used for trials while the evidence of all hosts says that the service fails")
+{
+    testing::VirtualClock clock;
+    ServiceOutcomes outcomes;
+    CHECK(outcomes.trials(Service, true, clock.now()) == Trials::None);
+    outcomes.note(Service, true, false, clock.now());
+    CHECK(outcomes.trials(Service, false, clock.now()) == Trials::None);
+    CHECK(outcomes.trials(Service, true, clock.now()) == Trials::All);
+    outcomes.note(Service, true, true, clock.now());
+    CHECK(outcomes.trials(Service, true, clock.now()) == Trials::None);
+}
