--- a/packages/balance/include/rhubarbtiller/balance/serviceoutcomes.h
+++ b/packages/balance/include/rhubarbtiller/balance/serviceoutcomes.h
@@ -40,12 +40,6 @@
     /// Precondition: \p now does not go back.
     void note(const catalog::ServiceName &service, bool isServed, bool isRepeatable, MonotonicTime now);
 
-    /// Returns whether so many requests end without an answer of a server that all servers have to be tried.
-    ///
-    /// Requests that can be repeated try all servers anyway; a service that has some never needs it.
-    /// Precondition: \p now does not go back.
-    bool needsTrials(const catalog::ServiceName &service, MonotonicTime now) const;
-
     /// Returns which trials the next request may be used for; \p fleetFails says that all hosts together see the service fail.
     ///
     /// Precondition: \p now does not go back.
--- a/packages/balance/lib/serviceoutcomes.cpp
+++ b/packages/balance/lib/serviceoutcomes.cpp
@@ -58,11 +58,6 @@
     return total;
 }
 
-bool ServiceOutcomes::needsTrials(const catalog::ServiceName &service, MonotonicTime now) const
-{
-    return this->trials(service, false, now) == Trials::All;
-}
-
 Trials ServiceOutcomes::trials(const catalog::ServiceName &service, bool fleetFails, MonotonicTime now) const
 {
     const auto found = this->services.find(service);
--- a/packages/balance/unittests/serviceoutcomestest.cpp
+++ b/packages/balance/unittests/serviceoutcomestest.cpp
@@ -10,6 +10,12 @@
 
 static const catalog::ServiceName Service("service");
 
+/// Returns whether this host's own outcomes make every request a trial.
+static bool needsTrials(const ServiceOutcomes &outcomes, const catalog::ServiceName &service, MonotonicTime now)
+{
+    return outcomes.trials(service, false, now) == Trials::All;
+}
+
 TEST_CASE("servers are tried when nearly a tenth of the requests is not served")
 {
     testing::VirtualClock clock;
@@ -17,11 +23,11 @@
     for (int i = 0; i < 100; ++i) {
         outcomes.note(Service, i % 14 != 0, false, clock.now());
     }
-    CHECK_FALSE(outcomes.needsTrials(Service, clock.now()));
+    CHECK_FALSE(needsTrials(outcomes, Service, clock.now()));
     outcomes.note(Service, false, false, clock.now());
     outcomes.note(Service, false, false, clock.now());
-    CHECK(outcomes.needsTrials(Service, clock.now()));
-    CHECK_FALSE(outcomes.needsTrials(catalog::ServiceName("other"), clock.now()));
+    CHECK(needsTrials(outcomes, Service, clock.now()));
+    CHECK_FALSE(needsTrials(outcomes, catalog::ServiceName("other"), clock.now()));
 }
 
 TEST_CASE("few failures do not count, and old ones are forgotten")
@@ -30,11 +36,11 @@
     ServiceOutcomes outcomes;
     outcomes.note(Service, false, false, clock.now());
     outcomes.note(Service, false, false, clock.now());
-    CHECK_FALSE(outcomes.needsTrials(Service, clock.now()));
+    CHECK_FALSE(needsTrials(outcomes, Service, clock.now()));
     outcomes.note(Service, false, false, clock.now());
-    CHECK(outcomes.needsTrials(Service, clock.now()));
+    CHECK(needsTrials(outcomes, Service, clock.now()));
     clock.advance(5s);
-    CHECK_FALSE(outcomes.needsTrials(Service, clock.now()));
+    CHECK_FALSE(needsTrials(outcomes, Service, clock.now()));
 }
 
 TEST_CASE("a service with requests that can be repeated needs no trials")
@@ -44,7 +50,7 @@
     for (int i = 0; i < 100; ++i) {
         outcomes.note(Service, i % 2 == 0, i % 5 == 0, clock.now());
     }
-    CHECK_FALSE(outcomes.needsTrials(Service, clock.now()));
+    CHECK_FALSE(needsTrials(outcomes, Service, clock.now()));
 }
 
 TEST_CASE("recent outcomes are counted by service")
