Simulate the replication of the configuration, and list what it finds as known red

replicationsimulation plays StateSync and PeerLink of a whole fleet on a virtual clock against a simulated store. For this PeerLink gets its socket through an interface, and both have update(), which their timers call. No decision changes.

--- a/packages/gateway/lib/gatewayprocess.cpp
+++ b/packages/gateway/lib/gatewayprocess.cpp
@@ -162,6 +162,7 @@
     FlowContext flow;
     ServiceUseMonitor useMonitor;
     StateSync stateSync;
+    std::unique_ptr<DatagramSocket> peerSocket;
     PeerLink peerLink;
     CallerHandler callerHandler;
     FunctionHandler directoryHandler;
@@ -250,6 +251,7 @@
                          this->onPublished();
                      });
                  }})
+    , peerSocket(makeUdpSocket(servingContext))
     , peerLink({servingContext,
                 clock,
                 random,
@@ -257,6 +259,7 @@
                 board,
                 quota,
                 stateSync,
+                *peerSocket,
                 settings.failureDomains,
                 seedPeerAddresses(),
                 [this](const PeerReplicaStatus &peerStatus) {
@@ -404,9 +407,7 @@
     this->backend->retain([&known](const BackendServerId &server) {
         return known.contains(server);
     });
-    if (this->directory.isEntryHost()) {
-        this->peerLink.announce();
-    }
+    this->peerLink.onStatePublished();
 }
 
 http::HttpResponse GatewayProcess::Parts::handleAddressQuery(const http::HttpRequest &request)
--- a/packages/gateway/lib/peerlink.cpp
+++ b/packages/gateway/lib/peerlink.cpp
@@ -2,7 +2,6 @@
 
 #include "thriftcodec.h"
 
-#include <rhubarbtiller/http/endpoints.h>
 #include <rhubarbtiller/telemetry/log.h>
 
 namespace rhubarbtiller::gateway {
@@ -88,64 +87,34 @@
     return heartbeat;
 }
 
-static std::optional<asio::ip::udp::endpoint> parseUdp(const Endpoint &endpoint)
-{
-    const auto address = http::parseEndpoint(endpoint);
-    return address ? std::optional(asio::ip::udp::endpoint(address->address(), address->port())) : std::nullopt;
-}
-
 PeerLink::PeerLink(Parts linkParts)
-    : parts(std::move(linkParts))
-    , reports(parts.board, parts.quota, parts.directory.own().failureDomain)
-    , socket(parts.context)
-    , timer(parts.context)
+    : parts(std::move(linkParts)), reports(parts.board, parts.quota, parts.directory.own().failureDomain), timer(parts.context)
 {
 }
 
 std::error_code PeerLink::start()
 {
-    const auto address = parseUdp(this->parts.directory.own().peerAddress);
-    if (!address) {
-        return std::make_error_code(std::errc::invalid_argument);
-    }
-    std::error_code error;
-    this->socket.open(address->protocol(), error);
-    if (!error) {
-        this->socket.bind(*address, error);
-    }
+    const auto error = this->open();
     if (!error) {
-        // A full send buffer must not block requests.
-        this->socket.non_blocking(true, error);
+        this->tick();
     }
-    if (error) {
-        return error;
-    }
-    this->receive();
-    this->tick();
-    return {};
+    return error;
 }
 
-void PeerLink::receive()
+std::error_code PeerLink::open()
 {
-    this->socket.async_receive_from(asio::buffer(this->incoming), this->sender, [this](std::error_code error, std::size_t size) {
-        if (error == asio::error::operation_aborted) {
-            return;
-        }
-        // Other errors report that an earlier datagram was not delivered.
-        if (!error) {
-            this->onDatagram(std::string_view(this->incoming.data(), size), this->sender);
-        }
-        this->receive();
+    return this->parts.socket.open(this->parts.directory.own().peerAddress, [this](std::string_view bytes, const Endpoint &from) {
+        this->onDatagram(bytes, from);
     });
 }
 
-void PeerLink::onDatagram(std::string_view bytes, const asio::ip::udp::endpoint &from)
+void PeerLink::onDatagram(std::string_view bytes, const Endpoint &from)
 {
     const auto datagram = decodeThrift<wire::Datagram>(bytes);
     if (!datagram || !hasSender(*datagram)) {
         telemetry::logEvent(telemetry::LogLevel::Warning,
                             "datagram_malformed",
-                            {{"from", from.address().to_string()}, {"bytes", static_cast<std::uint64_t>(bytes.size())}});
+                            {{"from", from.text()}, {"bytes", static_cast<std::uint64_t>(bytes.size())}});
         return;
     }
     const auto now = this->parts.clock.now();
@@ -226,7 +195,7 @@
     return heartbeat;
 }
 
-void PeerLink::tick()
+void PeerLink::update()
 {
     const auto now = this->parts.clock.now();
     this->updateRole(now);
@@ -242,6 +211,11 @@
     if (this->isServing && this->parts.quota.needsWindowUses(now)) {
         this->requestWindowUses(now);
     }
+}
+
+void PeerLink::tick()
+{
+    this->update();
     this->timer.expires_after(TickInterval);
     this->timer.async_wait([this](std::error_code error) {
         if (!error) {
@@ -389,6 +363,13 @@
     this->sendHeartbeats(this->parts.clock.now());
 }
 
+void PeerLink::onStatePublished()
+{
+    if (this->parts.directory.isEntryHost()) {
+        this->announce();
+    }
+}
+
 void PeerLink::sendUrgentReports()
 {
     const auto now = this->parts.clock.now();
@@ -510,12 +491,7 @@
 
 void PeerLink::send(const wire::Datagram &datagram, const Endpoint &target)
 {
-    const auto address = parseUdp(target);
-    if (!address) {
-        return;
-    }
-    std::error_code error;
-    this->socket.send_to(asio::buffer(encodeThrift(datagram)), *address, 0, error);
+    const auto error = this->parts.socket.send(encodeThrift(datagram), target);
     // Datagrams may be lost in any case; only the first failure after a success is logged.
     if (error && !std::exchange(this->isSendFailing, true)) {
         telemetry::logEvent(telemetry::LogLevel::Warning, "datagram_not_sent", {{"target", target.text()}, {"error", error.message()}});
--- a/packages/gateway/lib/peerlink.h
+++ b/packages/gateway/lib/peerlink.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "datagramsocket.h"
 #include "peerreports.h"
 #include "statesync.h"
 
@@ -8,9 +9,7 @@
 #include <rhubarbtiller/balance/retrybudget.h>
 #include <rhubarbtiller/balance/scoreboard.h>
 
-#include <asio/ip/udp.hpp>
-
-#include <array>
+#include <asio/steady_timer.hpp>
 
 namespace rhubarbtiller::gateway {
 
@@ -29,6 +28,7 @@
         balance::Scoreboard &board;
         balance::OrganisationQuota &quota;
         StateSync &sync;
+        DatagramSocket &socket;
         std::vector<FailureDomainId> failureDomains;
         /// Addresses of hosts that may be alive, for a host that has discovered no other.
         std::vector<Endpoint> seeds;
@@ -42,12 +42,21 @@
     /// Precondition: the objects that \p linkParts refers to outlive this object.
     explicit PeerLink(Parts linkParts);
 
-    /// Binds the address and starts sending. Precondition: called once.
+    /// Binds the address and calls update() periodically. Precondition: called once.
     std::error_code start();
 
+    /// Binds the address. Precondition: called once; not together with start().
+    std::error_code open();
+
+    /// Decides this host's role and sends what is due; to be called every 50 ms. Precondition: open.
+    void update();
+
     /// Sends the regular heartbeats without delay, such as after a change. Precondition: started.
     void announce();
 
+    /// Announces a new version of the replicated state if this host is an entry host. Precondition: open.
+    void onStatePublished();
+
     /// Sends urgent evidence without delay. Precondition: started.
     void sendUrgentReports();
 
@@ -59,8 +68,7 @@
     wire::HostBeat ownHeartbeat() const;
 
 private:
-    void receive();
-    void onDatagram(std::string_view bytes, const asio::ip::udp::endpoint &from);
+    void onDatagram(std::string_view bytes, const Endpoint &from);
     std::optional<wire::HostBeat> senderHeartbeat(const wire::Datagram &datagram) const;
     wire::HostBrief ownBrief() const;
     void tick();
@@ -77,10 +85,7 @@
 
     Parts parts;
     PeerReports reports;
-    asio::ip::udp::socket socket;
     asio::steady_timer timer;
-    asio::ip::udp::endpoint sender;
-    std::array<char, 65536> incoming{};
     MonotonicTime nextHeartbeatAt{};
     MonotonicTime nextReportAt{};
     MonotonicTime nextDiscoveryAt{};
--- a/packages/gateway/lib/statesync.cpp
+++ b/packages/gateway/lib/statesync.cpp
@@ -94,7 +94,7 @@
     }
 }
 
-void StateSync::tick()
+void StateSync::update()
 {
     this->requestChanges(this->configuration);
     this->requestChanges(this->servers);
@@ -105,6 +105,11 @@
     if (hasExpired && !this->isStoreUnavailable) {
         this->publish();
     }
+}
+
+void StateSync::tick()
+{
+    this->update();
     this->timer.expires_after(TickInterval);
     this->timer.async_wait([this](std::error_code error) {
         if (!error) {
--- a/packages/gateway/lib/statesync.h
+++ b/packages/gateway/lib/statesync.h
@@ -59,9 +59,12 @@
     /// Precondition: the objects that \p syncParts refers to outlive this object.
     explicit StateSync(Parts syncParts);
 
-    /// Starts reading. Precondition: called once.
+    /// Starts reading, and calls update() periodically. Precondition: called once.
     void start();
 
+    /// Requests changes where they are due, and publishes what expired; to be called every 100 ms. Precondition: none.
+    void update();
+
     /// Sets the position among the hosts of the failure domain; the first watches the store. Thread safety: any thread.
     void setRank(std::size_t position);
 
--- a/packages/gateway/unittests/peerlinktest.cpp
+++ b/packages/gateway/unittests/peerlinktest.cpp
@@ -6,6 +6,7 @@
 #include <doctest/doctest.h>
 
 #include <asio/io_context.hpp>
+#include <asio/ip/udp.hpp>
 
 using namespace rhubarbtiller;
 using namespace rhubarbtiller::gateway;
@@ -19,6 +20,7 @@
 public:
     LinkedHost(asio::io_context &context, const Clock &hostClock, balance::HostRecord record)
         : clock(hostClock)
+        , socket(makeUdpSocket(context))
         , random(record.incarnation.count())
         , directory(std::move(record), 2, false)
         , sync({context,
@@ -38,6 +40,7 @@
                 this->board,
                 this->quota,
                 this->sync,
+                *this->socket,
                 {FailureDomainId("a"), FailureDomainId("b"), FailureDomainId("c")},
                 {},
                 [](const PeerReplicaStatus &) {
@@ -50,6 +53,7 @@
     }
 
     const Clock &clock;
+    std::unique_ptr<DatagramSocket> socket;
     SeededRandom random;
     FakeSource source;
     PlainDecoder decoder;
--- /dev/null
+++ b/packages/gateway/unittests/replicationhistorytest.cpp
@@ -0,0 +1,82 @@
+#include "replicationsimulation.h"
+
+#include <rhubarbtiller/telemetry/log.h>
+
+#include <doctest/doctest.h>
+
+#include <cstdlib>
+#include <iostream>
+
+using namespace rhubarbtiller;
+using namespace rhubarbtiller::gateway;
+
+/// Plans of every test run; RHUBARBTILLER_SEEDS adds to them.
+static constexpr std::uint64_t DefaultPlans = 40;
+
+// Guards against faults of the hosts that read the store, or of the paths to them, which delay a change for hosts without a fault.
+TEST_CASE("a confirmed change that is late or reverts while other hosts fail")
+{
+    const char *const single = std::getenv("RHUBARBTILLER_SEED");
+    const char *const additional = std::getenv("RHUBARBTILLER_SEEDS");
+    const auto first = single != nullptr ? std::stoull(single) : 1;
+    const auto count = single != nullptr ? 1 : DefaultPlans + (additional != nullptr ? std::stoull(additional) : 0);
+    std::uint64_t broken = 0;
+    for (auto seed = first; seed < first + count; ++seed) {
+        const auto plan = randomReplicationPlan(seed);
+        const auto violations = simulateReplication(plan).violations;
+        if (!violations.empty()) {
+            ++broken;
+            std::cout << "seed " << seed << ": " << describeFaults(plan) << std::endl;
+        }
+        for (std::size_t i = 0; i < std::min<std::size_t>(violations.size(), 3); ++i) {
+            const auto &violation = violations[i];
+            const auto at = std::chrono::duration<double>(violation.at).count();
+            std::cout << "seed " << seed << ", " << at << " s, " << violation.host.text() << ": " << violation.description << std::endl;
+        }
+        CHECK_MESSAGE(violations.empty(), "seed ", seed);
+    }
+    std::cout << broken << " of " << count << " plans broken" << std::endl;
+}
+
+// The readers fail right after a response of the store, so that their contact with it looks as recent as possible.
+TEST_CASE("a change that is late because readers of the store fail right before it")
+{
+    using namespace std::chrono_literals;
+    struct Case
+    {
+        HostFault kind;
+        FaultTarget target;
+        double share;
+    };
+    for (const auto &each : {Case{HostFault::Frozen, FaultTarget::EntryHosts, 1},
+                             Case{HostFault::Slow, FaultTarget::EntryHosts, 1},
+                             Case{HostFault::CutFromStore, FaultTarget::EntryHosts, 1},
+                             Case{HostFault::RefusedByStore, FaultTarget::EntryHosts, 1},
+                             Case{HostFault::RefusedConfiguration, FaultTarget::EntryHosts, 1},
+                             Case{HostFault::CutFromPeers, FaultTarget::AnyHosts, 0.5},
+                             Case{HostFault::LosesPackets, FaultTarget::EntryHosts, 1},
+                             Case{HostFault::Killed, FaultTarget::EntryHosts, 1},
+                             Case{HostFault::Killed, FaultTarget::AnyHosts, 0.7}}) {
+        Duration slowest{};
+        std::size_t broken = 0;
+        // The offsets cover the phases of heartbeats.
+        for (Duration offset{}; offset < 1500ms; offset += 125ms) {
+            ReplicationPlan plan;
+            plan.seed = static_cast<std::uint64_t>(offset / 1ms) + 1;
+            plan.domains = 2;
+            plan.length = 12s;
+            const auto from = 7s + offset;
+            plan.faults = {{each.kind, each.target, each.share, from, from + 4500ms}};
+            plan.changes = {{StoreChange::AddServer, from - 25ms}, {StoreChange::Configuration, from + 1ms}};
+            const auto result = simulateReplication(plan);
+            slowest = std::max(slowest, result.slowestChange);
+            broken += result.violations.empty() ? 0 : 1;
+        }
+        ReplicationPlan described;
+        described.faults = {{each.kind, each.target, each.share, 0ms, 4500ms}};
+        std::cout << describeFaults(described) << ": slowest change " << std::chrono::duration<double>(slowest).count() << " s, " << broken
+                  << " plans broken" << std::endl;
+        CHECK_MESSAGE(broken == 0, describeFaults(described));
+        CHECK_MESSAGE(slowest < 2s, describeFaults(described));
+    }
+}
