Log announced configurations, who reads the store, and the versions behind a refusal

Nothing told when a host first could know of a version, why it did not read the store itself, or which version a refusal for an unknown route or key went by. No decision changes.

--- a/packages/gateway/lib/gatewayprocess.cpp
+++ b/packages/gateway/lib/gatewayprocess.cpp
@@ -236,6 +236,10 @@
            [this] {
                this->peerLink.sendUrgentReports();
            },
+           [this] {
+               const auto status = this->stateSync.replicaStatus();
+               return std::pair(status.configurationVersion, status.announcedConfigurationVersion);
+           },
            0}
     , useMonitor(settings.failureDomain, metrics)
     , stateSync({controlContext,
--- a/packages/gateway/lib/requestflow.cpp
+++ b/packages/gateway/lib/requestflow.cpp
@@ -556,6 +556,11 @@
     if (this->state) {
         line.configuration = this->state->catalog ? this->state->catalog->version() : ConfigVersion();
         line.stateAge = this->arrivedAt - this->state->changedAt;
+        const bool isRefusedByConfiguration
+            = outcome == refusalReasonName(RefusalReason::NoRoute) || outcome == refusalReasonName(RefusalReason::UnknownKey);
+        if (isRefusedByConfiguration) {
+            line.storeVersions = this->flow.configurationVersions();
+        }
     }
     this->flow.log.write(line);
 }
--- a/packages/gateway/lib/requestflow.h
+++ b/packages/gateway/lib/requestflow.h
@@ -36,6 +36,8 @@
     telemetry::Metrics &metrics;
     /// Called after evidence was recorded.
     std::function<void()> onEvidenceRecorded;
+    /// Returns the store versions of the configuration: that of this host, and the newest that a peer announced.
+    std::function<std::pair<std::uint64_t, std::uint64_t>()> configurationVersions;
     std::uint64_t requestsInProgress = 0;
     DispatchQueue dispatchQueue{};
     RequestLog log{};
--- a/packages/gateway/lib/requestlog.cpp
+++ b/packages/gateway/lib/requestlog.cpp
@@ -27,6 +27,15 @@
 
 void RequestLog::write(const RequestRecord &record)
 {
+    if (record.storeVersions) {
+        telemetry::logEvent(telemetry::LogLevel::Info,
+                            "refused_by_configuration",
+                            {{"request", record.request.text()},
+                             {"outcome", record.outcome},
+                             {"configuration", record.configuration.count()},
+                             {"store_version", record.storeVersions->first},
+                             {"announced_store_version", record.storeVersions->second}});
+    }
     if (this->omittedLines > 0) {
         telemetry::logEvent(telemetry::LogLevel::Info, "lines_left_out", {{"requests", std::exchange(this->omittedLines, 0)}});
     }
--- a/packages/gateway/lib/requestlog.h
+++ b/packages/gateway/lib/requestlog.h
@@ -27,6 +27,9 @@
     balance::QuotaDecision quota;
     ConfigVersion configuration;
     Duration stateAge{};
+    /// The store version of the configuration on this host, and the newest that a peer announced; set if the request was refused for
+    /// its route or key.
+    std::optional<std::pair<std::uint64_t, std::uint64_t>> storeVersions;
 };
 
 /// Writes one log line for each request, up to a rate limit.
--- a/packages/gateway/lib/statesync.cpp
+++ b/packages/gateway/lib/statesync.cpp
@@ -73,6 +73,12 @@
     return "unknown";
 }
 
+/// Returns \p duration in seconds.
+static double seconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
 StateSync::StateSync(Parts syncParts) : parts(std::move(syncParts)), timer(parts.context)
 {
     this->configuration.table = SourceTable::Configuration;
@@ -136,6 +142,7 @@
 {
     const auto now = this->parts.clock.now();
     const bool reads = this->shouldReadStore(now);
+    this->logReaderRole(reads, now);
     this->isReadingStore = reads;
     if (!reads && std::exchange(this->isStoreUnavailable, false)) {
         // A peer is in contact with the store, so entries that are removed from now on are not retained as expired during an outage.
@@ -157,6 +164,33 @@
     this->parts.source.watch(state.table, state.replica.position(), WatchTimeout, handler);
 }
 
+/// Returns the age of the last response in seconds; negative if there was none.
+static double responseAge(MonotonicTime lastResponseAt, MonotonicTime now)
+{
+    return lastResponseAt == MonotonicTime() ? -1 : seconds(now - lastResponseAt);
+}
+
+/// Logs that this host starts or stops to read the store, and what it last received from peers of its failure domain.
+void StateSync::logReaderRole(bool reads, MonotonicTime now)
+{
+    if (reads == this->isReadingStore.load()) {
+        return;
+    }
+    std::string contacts;
+    for (const auto &[host, peer] : this->peersInDomain) {
+        if (peer.replicaStatus.storeContactAge) {
+            contacts += (contacts.empty() ? "" : ",") + host.text() + ":"
+                + std::to_string((*peer.replicaStatus.storeContactAge + (now - peer.receivedAt)) / std::chrono::milliseconds(1));
+        }
+    }
+    logEvent(LogLevel::Info,
+             reads ? "store_reading_started" : "store_reading_ended",
+             {{"rank", static_cast<std::uint64_t>(this->rank.load())},
+              {"contact_ms_of_peers", contacts},
+              {"configuration_response_age_s", responseAge(this->configuration.lastResponseAt, now)},
+              {"servers_response_age_s", responseAge(this->servers.lastResponseAt, now)}});
+}
+
 void StateSync::onBatch(TableState &state, bool isWhole, const Result<SourceBatch> &batch)
 {
     const auto now = this->parts.clock.now();
@@ -165,7 +199,7 @@
         this->onStoreFailure(state, batch.error(), now);
         return;
     }
-    this->onStoreResponse(now);
+    this->onStoreResponse(state, now);
     state.consecutiveFailures = 0;
     const bool hasChanged = isWhole ? state.replica.replace(*batch, now) : state.replica.apply(*batch, now);
     state.needsFullRead = false;
@@ -177,14 +211,15 @@
     this->requestChanges(state);
 }
 
-void StateSync::onStoreResponse(MonotonicTime now)
+void StateSync::onStoreResponse(TableState &state, MonotonicTime now)
 {
+    state.lastResponseAt = now;
     this->lastStoreResponse = now.time_since_epoch().count();
     if (std::exchange(this->isStoreUnavailable, false)) {
         this->storeRecoveredAt = now;
         logEvent(LogLevel::Info,
                  "store_regained",
-                 {{"away_s", std::chrono::duration<double>(now - this->storeUnavailableSince).count()},
+                 {{"away_s", seconds(now - this->storeUnavailableSince)},
                   {"configuration_version", this->configuration.replica.version()},
                   {"servers_version", this->servers.replica.version()}});
     }
@@ -219,6 +254,8 @@
     if (peer.failureDomain == this->parts.ownDomain) {
         this->peersInDomain[peer.host] = {peer, now};
     }
+    this->onAnnouncedVersion(this->configuration, peer.configurationVersion, peer.host, now);
+    this->onAnnouncedVersion(this->servers, peer.serversVersion, peer.host, now);
     if (peer.configurationVersion > std::max(this->configuration.replica.version(), this->configuration.replica.position())) {
         this->pullFromPeer(this->configuration, peer);
     }
@@ -227,6 +264,25 @@
     }
 }
 
+void StateSync::onAnnouncedVersion(TableState &state, std::uint64_t version, const HostId &host, MonotonicTime now)
+{
+    if (version <= state.announcedVersion) {
+        return;
+    }
+    state.announcedVersion = version;
+    state.announcedAt = now;
+    state.announcedBy = host;
+    if (state.table != SourceTable::Configuration) {
+        return;
+    }
+    this->announcedConfigurationVersion = version;
+    if (version > std::max(state.replica.version(), state.replica.position())) {
+        logEvent(LogLevel::Info,
+                 "configuration_announced",
+                 {{"store_version", version}, {"own_store_version", state.replica.version()}, {"from", host.text()}});
+    }
+}
+
 void StateSync::pullFromPeer(TableState &state, const PeerReplicaStatus &peer)
 {
     // An entry host in contact with the store receives the change from there shortly.
@@ -302,9 +358,14 @@
     if (state.table == SourceTable::Configuration) {
         if (auto next = this->parts.decoder.catalog(state.replica.rows())) {
             if (!this->catalog || next->version() != this->catalog->version()) {
+                const bool wasAnnounced = state.announcedVersion == state.replica.version();
                 logEvent(LogLevel::Info,
                          "configuration_applied",
-                         {{"version", next->version().count()}, {"store_version", state.replica.version()}, {"from", from}});
+                         {{"version", next->version().count()},
+                          {"store_version", state.replica.version()},
+                          {"from", from},
+                          {"announced_by", wasAnnounced ? state.announcedBy.text() : std::string()},
+                          {"announced_ms_ago", wasAnnounced ? (now - state.announcedAt) / std::chrono::milliseconds(1) : 0}});
             }
             this->catalog = std::move(next);
         }
@@ -431,6 +492,7 @@
     OwnReplicaStatus ownStatus;
     ownStatus.configurationVersion = this->configurationVersion.load();
     ownStatus.serversVersion = this->serversVersion.load();
+    ownStatus.announcedConfigurationVersion = this->announcedConfigurationVersion.load();
     if (this->isReadingStore.load() && this->lastStoreResponse.load() != 0) {
         ownStatus.storeContactAge = Duration(this->parts.clock.now().time_since_epoch().count() - this->lastStoreResponse.load());
     }
--- a/packages/gateway/lib/statesync.h
+++ b/packages/gateway/lib/statesync.h
@@ -32,6 +32,8 @@
     std::uint64_t configurationVersion = 0;
     std::uint64_t serversVersion = 0;
     std::optional<Duration> storeContactAge;
+    /// The newest store version of the configuration that a peer announced.
+    std::uint64_t announcedConfigurationVersion = 0;
 };
 
 /// Updates the host's replicas of the configuration and of the servers, and publishes the state that the request path reads.
@@ -91,6 +93,12 @@
         unsigned consecutiveFailures = 0;
         /// Consecutive pulls from peers that timed out.
         unsigned consecutivePullTimeouts = 0;
+        /// When the store last answered a call for this table.
+        MonotonicTime lastResponseAt{};
+        /// Newest version that a peer announced, when it first did, and who.
+        std::uint64_t announcedVersion = 0;
+        MonotonicTime announcedAt{};
+        HostId announcedBy;
     };
 
     /// The compressed rows of the configuration for peers at one version, since most peers are at the same version.
@@ -118,7 +126,9 @@
     void requestChanges(TableState &state);
     bool shouldReadStore(MonotonicTime now) const;
     void onBatch(TableState &state, bool isWhole, const Result<SourceBatch> &batch);
-    void onStoreResponse(MonotonicTime now);
+    void onStoreResponse(TableState &state, MonotonicTime now);
+    void onAnnouncedVersion(TableState &state, std::uint64_t version, const HostId &host, MonotonicTime now);
+    void logReaderRole(bool reads, MonotonicTime now);
     void onStoreFailure(TableState &state, const std::error_code &error, MonotonicTime now);
     void pullFromPeer(TableState &state, const PeerReplicaStatus &peer);
     void onPullResponse(TableState &state, const HostId &host, const Result<http::HttpResponse> &response);
@@ -150,6 +160,7 @@
     std::atomic<std::size_t> rank{0};
     std::atomic<std::uint64_t> configurationVersion{0};
     std::atomic<std::uint64_t> serversVersion{0};
+    std::atomic<std::uint64_t> announcedConfigurationVersion{0};
     std::atomic<std::int64_t> lastStoreResponse{0};
     std::atomic<bool> isReadingStore{false};
 };
--- a/packages/gateway/unittests/requestflowtest.cpp
+++ b/packages/gateway/unittests/requestflowtest.cpp
@@ -195,7 +195,12 @@
                      this->metrics,
                      [] {
                      },
+                     [this] {
+                         return this->versions;
+                     },
                      0};
+    /// Store versions of the configuration: that of this host, and the newest that a peer announced.
+    std::pair<std::uint64_t, std::uint64_t> versions{1, 1};
     int requests = 0;
 };
 
