Announce the older contact of both tables, so that a failing table is taken over

Cause: one time of contact for both tables. Responses for the servers kept the announced contact fresh, so no other host of the domain read the configuration itself.

A reader now announces the older of its two last responses, and takes a version from another domain by the contact of that table.

--- a/packages/gateway/lib/statesync.cpp
+++ b/packages/gateway/lib/statesync.cpp
@@ -214,7 +214,8 @@
 void StateSync::onStoreResponse(TableState &state, MonotonicTime now)
 {
     state.lastResponseAt = now;
-    this->lastStoreResponse = now.time_since_epoch().count();
+    // The table that fails bounds the contact: the other hosts of the domain have to read it in place of this one.
+    this->lastContact = std::min(this->configuration.lastResponseAt, this->servers.lastResponseAt).time_since_epoch().count();
     if (std::exchange(this->isStoreUnavailable, false)) {
         this->storeRecoveredAt = now;
         logEvent(LogLevel::Info,
@@ -286,8 +287,8 @@
 void StateSync::pullFromPeer(TableState &state, const PeerReplicaStatus &peer)
 {
     // An entry host in contact with the store receives the change from there shortly.
-    const auto contactAge = this->parts.clock.now().time_since_epoch().count() - this->lastStoreResponse.load();
-    const bool isWatchingStore = this->rank.load() == 0 && Duration(contactAge) < WatchTimeout && !this->isStoreUnavailable;
+    const auto responseAge = this->parts.clock.now() - state.lastResponseAt;
+    const bool isWatchingStore = this->rank.load() == 0 && responseAge < WatchTimeout && !this->isStoreUnavailable;
     const bool isOtherDomain = peer.failureDomain != this->parts.ownDomain;
     if (state.hasPendingPull || (isWatchingStore && isOtherDomain)) {
         return;
@@ -493,8 +494,8 @@
     ownStatus.configurationVersion = this->configurationVersion.load();
     ownStatus.serversVersion = this->serversVersion.load();
     ownStatus.announcedConfigurationVersion = this->announcedConfigurationVersion.load();
-    if (this->isReadingStore.load() && this->lastStoreResponse.load() != 0) {
-        ownStatus.storeContactAge = Duration(this->parts.clock.now().time_since_epoch().count() - this->lastStoreResponse.load());
+    if (this->isReadingStore.load() && this->lastContact.load() != 0) {
+        ownStatus.storeContactAge = Duration(this->parts.clock.now().time_since_epoch().count() - this->lastContact.load());
     }
     return ownStatus;
 }
--- a/packages/gateway/lib/statesync.h
+++ b/packages/gateway/lib/statesync.h
@@ -22,7 +22,7 @@
     Endpoint controlAddress;
     std::uint64_t configurationVersion = 0;
     std::uint64_t serversVersion = 0;
-    /// Time since the store answered the peer; unset if it does not read the store itself.
+    /// Time since the store answered the peer for each table; unset if it does not read the store itself.
     std::optional<Duration> storeContactAge;
 };
 
@@ -161,7 +161,8 @@
     std::atomic<std::uint64_t> configurationVersion{0};
     std::atomic<std::uint64_t> serversVersion{0};
     std::atomic<std::uint64_t> announcedConfigurationVersion{0};
-    std::atomic<std::int64_t> lastStoreResponse{0};
+    /// When the store last answered a call for each of the tables; 0 before.
+    std::atomic<std::int64_t> lastContact{0};
     std::atomic<bool> isReadingStore{false};
 };
 
--- a/packages/gateway/unittests/replicationsimulation.cpp
+++ b/packages/gateway/unittests/replicationsimulation.cpp
@@ -838,6 +838,7 @@
         // The changes that a fault delays most come right after its beginning, if it follows a response of the store.
         if (random.below(2) == 0) {
             plan.changes.push_back({StoreChange::AddServer, fault.from - std::chrono::milliseconds(25)});
+            plan.changes.push_back({StoreChange::Configuration, fault.from - std::chrono::milliseconds(25)});
             plan.changes.push_back({StoreChange::Configuration, fault.from + std::chrono::milliseconds(1)});
         }
         const auto changes = random.below(3);
--- a/packages/gateway/unittests/statesynctest.cpp
+++ b/packages/gateway/unittests/statesynctest.cpp
@@ -183,6 +183,21 @@
     CHECK(fixture.servers() == Names{"s2"});
 }
 
+TEST_CASE("responses for the servers hide from the peers that the store refuses the configuration")
+{
+    SyncFixture fixture;
+    fixture.startWith({{"s1", "ready", 5, false}});
+    for (int i = 0; i < 3; ++i) {
+        fixture.clock.advance(1s);
+        fixture.tick();
+        REQUIRE(fixture.source.pending(SourceTable::Configuration) != nullptr);
+        fixture.source.answer(SourceTable::Configuration, make_error_code(SourceError::Unavailable));
+        fixture.source.answer(SourceTable::Servers, SourceBatch{{}, 10});
+    }
+    REQUIRE(fixture.sync.replicaStatus().storeContactAge);
+    CHECK(*fixture.sync.replicaStatus().storeContactAge == 3s);
+}
+
 TEST_CASE("a standby host pulls changes from a peer and does not read the store while the peer is in contact with it")
 {
     SyncFixture fixture;
