Take over the reading of the store well within the time for a change

Callers saw a change 2.005 s after its acknowledgement where the readers of a domain are cut from the store or refused by it, and 2.019 s on a host that is cut from its peers only and could have read the store all the while (simulation, readers that fail right after a response; bound 2 s, before the processing time of a busy host). Cause: timeouts in series, each chosen on its own: a call of 1.2 s, contact that counts for 1.5 s, 50 ms a rank, a tick of 100 ms, a read; then a standby host that took over announced what it read with its next heartbeat, up to 1.5 s later, so that the hosts of each rank waited for their own turn. Retry delays of up to 4.8 s outlived the outage.

A call waits 0.8 s, contact counts for 1.1 s and only while the peer's heartbeats arrive, a host that reads the store announces changes at once and sends heartbeats like an entry host, and retry delays end when a peer is in contact again or this host becomes the first.

--- a/packages/gateway/lib/peerlink.cpp
+++ b/packages/gateway/lib/peerlink.cpp
@@ -160,6 +160,7 @@
     status.controlAddress = record.controlAddress;
     status.configurationVersion = static_cast<std::uint64_t>(received->configurationVersion);
     status.serversVersion = static_cast<std::uint64_t>(received->serversVersion);
+    status.heartbeatInterval = record.heartbeatInterval;
     if (received->storeContactAgeMs >= 0) {
         status.storeContactAge = milliseconds(received->storeContactAgeMs);
     }
@@ -290,7 +291,8 @@
     auto interval = EntryHeartbeatInterval;
     heartbeat.isServing = this->isServing;
     heartbeat.isEntry = this->isEntryHost;
-    if (!this->isServing && !heartbeat.isLeaving) {
+    // A reader of the store has to be replaced as fast as an entry host.
+    if (!this->isServing && !heartbeat.isLeaving && !this->parts.sync.isInContact()) {
         const auto now = this->parts.clock.now();
         const auto count = this->parts.directory.liveHosts(this->parts.directory.own().failureDomain, now).size();
         interval = std::max(MinStandbyHeartbeatInterval, milliseconds(1000 * count / StandbyHeartbeatsPerSecond));
@@ -365,7 +367,7 @@
 
 void PeerLink::onStatePublished()
 {
-    if (this->parts.directory.isEntryHost()) {
+    if (this->parts.directory.isEntryHost() || this->parts.sync.replicaStatus().storeContactAge) {
         this->announce();
     }
 }
--- a/packages/gateway/lib/peerlink.h
+++ b/packages/gateway/lib/peerlink.h
@@ -54,7 +54,7 @@
     /// Sends the regular heartbeats without delay, such as after a change. Precondition: started.
     void announce();
 
-    /// Announces a new version of the replicated state if this host is an entry host. Precondition: open.
+    /// Announces a new version of the replicated state if this host is an entry host or reads the store. Precondition: open.
     void onStatePublished();
 
     /// Sends urgent evidence without delay. Precondition: started.
--- a/packages/gateway/lib/statesync.cpp
+++ b/packages/gateway/lib/statesync.cpp
@@ -13,15 +13,19 @@
 using telemetry::logEvent;
 using telemetry::LogLevel;
 
-/// How long one call waits for changes. A stalled connection is detected soon after, within the 2 s in which a
-/// change has to be in force.
-static constexpr std::chrono::milliseconds WatchTimeout{1200};
+/// How long one call waits for changes; bounds the age of a reader's contact with the store while nothing changes.
+///
+/// docs/design.md adds up the times until a change is in force on all hosts after a reader fails.
+static constexpr std::chrono::milliseconds WatchTimeout{800};
 
 /// Interval of the checks whether this host has to read the store itself.
 static constexpr std::chrono::milliseconds TickInterval{100};
 
 /// A peer whose last contact with the store is older does not count as watching it.
-static constexpr Duration MaxStoreContactAge = std::chrono::milliseconds(1500);
+static constexpr Duration MaxStoreContactAge = std::chrono::milliseconds(1100);
+
+/// Heartbeat intervals without a heartbeat after which the contact that a peer announced no longer counts.
+static constexpr int MaxMissedHeartbeats = 3;
 static constexpr Duration TakeoverInterval = std::chrono::milliseconds(50);
 static constexpr std::size_t MaxTakeoverRank = 8;
 
@@ -94,12 +98,23 @@
 {
     if (this->rank.exchange(position) != position && position == 0) {
         asio::post(this->parts.context, [this] {
+            this->resetRetryDelays();
             this->requestChanges(this->configuration);
             this->requestChanges(this->servers);
         });
     }
 }
 
+/// Ends the delays after failed calls, which grow while the store cannot be reached.
+void StateSync::resetRetryDelays()
+{
+    for (auto *const state : {&this->configuration, &this->servers}) {
+        if (std::exchange(state->consecutiveFailures, 0) > 0) {
+            state->nextReadAt = this->parts.clock.now();
+        }
+    }
+}
+
 void StateSync::update()
 {
     this->requestChanges(this->configuration);
@@ -134,7 +149,9 @@
     const auto limit = MaxStoreContactAge + TakeoverInterval * std::min(position, MaxTakeoverRank);
     return std::none_of(this->peersInDomain.begin(), this->peersInDomain.end(), [now, limit](const auto &entry) {
         const auto &[peerStatus, receivedAt] = entry.second;
-        return peerStatus.storeContactAge && *peerStatus.storeContactAge + (now - receivedAt) < limit;
+        const auto silence = now - receivedAt;
+        return peerStatus.storeContactAge && silence < peerStatus.heartbeatInterval * MaxMissedHeartbeats
+            && *peerStatus.storeContactAge + silence < limit;
     });
 }
 
@@ -254,6 +271,11 @@
     const auto now = this->parts.clock.now();
     if (peer.failureDomain == this->parts.ownDomain) {
         this->peersInDomain[peer.host] = {peer, now};
+        const bool isReader = peer.storeContactAge && *peer.storeContactAge < MaxStoreContactAge;
+        if (isReader && this->rank.load() != 0) {
+            // The store is reachable again; this host reads it without delay if the peer fails.
+            this->resetRetryDelays();
+        }
     }
     this->onAnnouncedVersion(this->configuration, peer.configurationVersion, peer.host, now);
     this->onAnnouncedVersion(this->servers, peer.serversVersion, peer.host, now);
@@ -488,6 +510,12 @@
     this->parts.onStatePublished();
 }
 
+bool StateSync::isInContact() const
+{
+    const auto age = this->replicaStatus().storeContactAge;
+    return age && *age < MaxStoreContactAge;
+}
+
 OwnReplicaStatus StateSync::replicaStatus() const
 {
     OwnReplicaStatus ownStatus;
--- a/packages/gateway/lib/statesync.h
+++ b/packages/gateway/lib/statesync.h
@@ -24,6 +24,8 @@
     std::uint64_t serversVersion = 0;
     /// Time since the store answered the peer for each table; unset if it does not read the store itself.
     std::optional<Duration> storeContactAge;
+    /// Longest time until the peer's next heartbeat.
+    Duration heartbeatInterval = std::chrono::milliseconds(250);
 };
 
 /// Replica versions and store contact that this host reports.
@@ -67,6 +69,9 @@
     /// Requests changes where they are due, and publishes what expired; to be called every 100 ms. Precondition: none.
     void update();
 
+    /// Returns whether this host reads the store and had a response lately. Thread safety: any thread.
+    bool isInContact() const;
+
     /// Sets the position among the hosts of the failure domain; the first watches the store. Thread safety: any thread.
     void setRank(std::size_t position);
 
@@ -124,6 +129,7 @@
 
     void tick();
     void requestChanges(TableState &state);
+    void resetRetryDelays();
     bool shouldReadStore(MonotonicTime now) const;
     void onBatch(TableState &state, bool isWhole, const Result<SourceBatch> &batch);
     void onStoreResponse(TableState &state, MonotonicTime now);
