Pull a change from another peer, or read the store, while one peer does not answer

A host that pulled a table from one peer pulled from no other until that call ended: 0.5 s, doubled to 4 s by consecutive timeouts of whichever peers. The first host of a domain took a version from another domain only after its own call had been silent for 1.2 s.

PullSchedule chooses the peers: a pull from a peer whose heartbeats stop no longer blocks the next one, a peer that failed comes last, another domain is asked after 250 ms; one that is alive still has the link for itself, since copies of a large configuration compete on 10 Mbit/s. A host that is behind an announced version for 0.6 s without a promising pull reads the store for that table.

--- a/packages/gateway/lib/statesync.cpp
+++ b/packages/gateway/lib/statesync.cpp
@@ -47,10 +47,8 @@
 /// Delay after a response with changes.
 static constexpr Duration ChangeBatchDelay = std::chrono::milliseconds(120);
 
-/// A peer responds at once; a longer wait means that it is unreachable or that a link is busy. The timeout doubles with each pull that
-/// timed out, so that a large replica also arrives over a slow link.
-static constexpr Duration InitialPullTimeout = std::chrono::milliseconds(500);
-static constexpr unsigned MaxPullTimeoutDoublings = 3;
+/// A host that is behind an announced version for this long, without a promising pull, reads the store itself.
+static constexpr Duration StoreFallbackDelay = std::chrono::milliseconds(600);
 
 /// Smaller responses, in bytes, are sent uncompressed.
 static constexpr std::size_t MinBytesToCompress = 1024;
@@ -83,10 +81,12 @@
     return std::chrono::duration<double>(duration).count();
 }
 
-StateSync::StateSync(Parts syncParts) : parts(std::move(syncParts)), timer(parts.context)
+StateSync::StateSync(Parts syncParts)
+    : parts(std::move(syncParts))
+    , timer(parts.context)
+    , configuration(SourceTable::Configuration, parts.ownDomain)
+    , servers(SourceTable::Servers, parts.ownDomain)
 {
-    this->configuration.table = SourceTable::Configuration;
-    this->servers.table = SourceTable::Servers;
 }
 
 void StateSync::start()
@@ -119,6 +119,8 @@
 {
     this->requestChanges(this->configuration);
     this->requestChanges(this->servers);
+    this->pullFromPeers(this->configuration);
+    this->pullFromPeers(this->servers);
     const auto now = this->parts.clock.now();
     const bool hasExpired = std::any_of(this->expiredServers.begin(), this->expiredServers.end(), [now](const auto &entry) {
         return now >= entry.second.second;
@@ -166,7 +168,7 @@
         logEvent(LogLevel::Info, "store_regained", {{"through", "peer"}, {"servers_version", this->servers.replica.version()}});
     }
     const bool hasNothing = state.replica.version() == 0;
-    if (state.hasPendingRead || now < state.nextReadAt || (!reads && !hasNothing)) {
+    if (state.hasPendingRead || now < state.nextReadAt || (!reads && !hasNothing && !this->isWaitingInVain(state, now))) {
         return;
     }
     state.hasPendingRead = true;
@@ -181,6 +183,24 @@
     this->parts.source.watch(state.table, state.replica.position(), WatchTimeout, handler);
 }
 
+/// Returns whether peers announce a newer version for some time, and none of them is likely to deliver it soon.
+bool StateSync::isWaitingInVain(const TableState &state, MonotonicTime now) const
+{
+    const auto behindSince = state.pulls.behindSince();
+    return behindSince && now - *behindSince >= StoreFallbackDelay && !state.pulls.isPullPromising(now);
+}
+
+/// Returns the version up to which the replica is complete.
+static std::uint64_t completeVersion(const TableReplica &replica)
+{
+    return std::max(replica.version(), replica.position());
+}
+
+void StateSync::onProgress(TableState &state, MonotonicTime now)
+{
+    state.pulls.onOwnVersion(completeVersion(state.replica), now);
+}
+
 /// Returns the age of the last response in seconds; negative if there was none.
 static double responseAge(MonotonicTime lastResponseAt, MonotonicTime now)
 {
@@ -220,6 +240,7 @@
     state.consecutiveFailures = 0;
     const bool hasChanged = isWhole ? state.replica.replace(*batch, now) : state.replica.apply(*batch, now);
     state.needsFullRead = false;
+    this->onProgress(state, now);
     if (hasChanged) {
         this->onTableChanged(state, StoreSource);
         // Changes often arrive in groups; the delay lets one call return several.
@@ -277,53 +298,47 @@
             this->resetRetryDelays();
         }
     }
-    this->onAnnouncedVersion(this->configuration, peer.configurationVersion, peer.host, now);
-    this->onAnnouncedVersion(this->servers, peer.serversVersion, peer.host, now);
-    if (peer.configurationVersion > std::max(this->configuration.replica.version(), this->configuration.replica.position())) {
-        this->pullFromPeer(this->configuration, peer);
-    }
-    if (peer.serversVersion > std::max(this->servers.replica.version(), this->servers.replica.position())) {
-        this->pullFromPeer(this->servers, peer);
-    }
+    this->onAnnouncedVersion(this->configuration, peer.configurationVersion, peer, now);
+    this->onAnnouncedVersion(this->servers, peer.serversVersion, peer, now);
+    this->pullFromPeers(this->configuration);
+    this->pullFromPeers(this->servers);
 }
 
-void StateSync::onAnnouncedVersion(TableState &state, std::uint64_t version, const HostId &host, MonotonicTime now)
+void StateSync::onAnnouncedVersion(TableState &state, std::uint64_t version, const PeerReplicaStatus &peer, MonotonicTime now)
 {
-    if (version <= state.announcedVersion) {
+    const bool isNewest = version > state.pulls.announcedVersion();
+    const auto ownVersion = completeVersion(state.replica);
+    state.pulls.onAnnouncement({peer.host, peer.failureDomain, peer.controlAddress, version, peer.heartbeatInterval}, ownVersion, now);
+    if (!isNewest) {
         return;
     }
-    state.announcedVersion = version;
     state.announcedAt = now;
-    state.announcedBy = host;
+    state.announcedBy = peer.host;
     if (state.table != SourceTable::Configuration) {
         return;
     }
     this->announcedConfigurationVersion = version;
-    if (version > std::max(state.replica.version(), state.replica.position())) {
+    if (version > ownVersion) {
         logEvent(LogLevel::Info,
                  "configuration_announced",
-                 {{"store_version", version}, {"own_store_version", state.replica.version()}, {"from", host.text()}});
+                 {{"store_version", version}, {"own_store_version", state.replica.version()}, {"from", peer.host.text()}});
     }
 }
 
-void StateSync::pullFromPeer(TableState &state, const PeerReplicaStatus &peer)
+void StateSync::pullFromPeers(TableState &state)
 {
-    // An entry host in contact with the store receives the change from there shortly.
-    const auto responseAge = this->parts.clock.now() - state.lastResponseAt;
-    const bool isWatchingStore = this->rank.load() == 0 && responseAge < WatchTimeout && !this->isStoreUnavailable;
-    const bool isOtherDomain = peer.failureDomain != this->parts.ownDomain;
-    if (state.hasPendingPull || (isWatchingStore && isOtherDomain)) {
+    const auto pull = state.pulls.next(completeVersion(state.replica), this->parts.clock.now());
+    if (!pull) {
         return;
     }
-    state.hasPendingPull = true;
     http::HttpCall call;
-    call.server = peer.controlAddress;
+    call.server = pull->address;
     call.request.method = "GET";
     call.request.target = "/replica/" + std::string(tableName(state.table)) + "?after=" + std::to_string(state.replica.version());
     call.request.headers.push_back({"Accept-Encoding", std::string(http::DeflateCoding)});
-    call.deadline = this->parts.clock.now() + InitialPullTimeout * (1U << std::min(state.consecutivePullTimeouts, MaxPullTimeoutDoublings));
+    call.deadline = pull->deadline;
     call.maxAnswer = MaxReplicaSize;
-    this->parts.peerClient.send(std::move(call), [this, &state, host = peer.host](const http::HttpOutcome &outcome) {
+    this->parts.peerClient.send(std::move(call), [this, &state, host = pull->host](const http::HttpOutcome &outcome) {
         asio::post(this->parts.context, [this, &state, host, response = outcome.response] {
             this->onPullResponse(state, host, response);
         });
@@ -332,29 +347,31 @@
 
 void StateSync::onPullResponse(TableState &state, const HostId &host, const Result<http::HttpResponse> &response)
 {
-    state.hasPendingPull = false;
+    const auto now = this->parts.clock.now();
     if (!response || response->status != 200) {
         const bool hasTimedOut = !response && response.error() == http::HttpError::Timeout;
-        state.consecutivePullTimeouts += hasTimedOut ? 1 : 0;
+        state.pulls.onEnd(host, hasTimedOut ? PullOutcome::TimedOut : PullOutcome::Failed, now);
         logEvent(LogLevel::Warning,
                  "peer_copy_failed",
                  {{"host", host.text()},
                   {"table", tableName(state.table)},
-                  {"late_in_a_row", static_cast<std::uint64_t>(state.consecutivePullTimeouts)},
+                  {"late_in_a_row", static_cast<std::uint64_t>(state.pulls.consecutiveTimeouts())},
                   {"error", response ? std::to_string(response->status) : response.error().message()}});
         return;
     }
-    state.consecutivePullTimeouts = 0;
     std::optional<std::string> body(response->body);
     if (http::findHeader(response->headers, "Content-Encoding") == http::DeflateCoding) {
         body = http::inflated(response->body, MaxReplicaSize);
     }
     const auto changes = body ? decodeThrift<wire::ReplicaAnswer>(*body) : std::nullopt;
+    state.pulls.onEnd(host, changes ? PullOutcome::Received : PullOutcome::Failed, now);
     if (!changes) {
         logEvent(LogLevel::Warning, "peer_copy_malformed", {{"host", host.text()}, {"table", tableName(state.table)}});
         return;
     }
-    if (state.replica.applyPeerResponse(*changes, this->parts.clock.now())) {
+    const bool hasChanged = state.replica.applyPeerResponse(*changes, now);
+    this->onProgress(state, now);
+    if (hasChanged) {
         state.needsFullRead = false;
         this->onTableChanged(state, host.text());
     }
@@ -381,7 +398,7 @@
     if (state.table == SourceTable::Configuration) {
         if (auto next = this->parts.decoder.catalog(state.replica.rows())) {
             if (!this->catalog || next->version() != this->catalog->version()) {
-                const bool wasAnnounced = state.announcedVersion == state.replica.version();
+                const bool wasAnnounced = state.pulls.announcedVersion() == state.replica.version();
                 logEvent(LogLevel::Info,
                          "configuration_applied",
                          {{"version", next->version().count()},
--- a/packages/gateway/lib/statesync.h
+++ b/packages/gateway/lib/statesync.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "pullschedule.h"
 #include "tablereplica.h"
 
 #include <rhubarbtiller/base/random.h>
@@ -89,19 +90,20 @@
 private:
     struct TableState
     {
-        SourceTable table = SourceTable::Configuration;
+        TableState(SourceTable sourceTable, FailureDomainId ownDomain) : table(sourceTable), pulls(std::move(ownDomain))
+        {
+        }
+
+        const SourceTable table;
+        PullSchedule pulls;
         TableReplica replica;
         bool hasPendingRead = false;
-        bool hasPendingPull = false;
         bool needsFullRead = true;
         MonotonicTime nextReadAt{};
         unsigned consecutiveFailures = 0;
-        /// Consecutive pulls from peers that timed out.
-        unsigned consecutivePullTimeouts = 0;
         /// When the store last answered a call for this table.
         MonotonicTime lastResponseAt{};
-        /// Newest version that a peer announced, when it first did, and who.
-        std::uint64_t announcedVersion = 0;
+        /// When a peer first announced the newest announced version, and which.
         MonotonicTime announcedAt{};
         HostId announcedBy;
     };
@@ -133,10 +135,12 @@
     bool shouldReadStore(MonotonicTime now) const;
     void onBatch(TableState &state, bool isWhole, const Result<SourceBatch> &batch);
     void onStoreResponse(TableState &state, MonotonicTime now);
-    void onAnnouncedVersion(TableState &state, std::uint64_t version, const HostId &host, MonotonicTime now);
+    void onAnnouncedVersion(TableState &state, std::uint64_t version, const PeerReplicaStatus &peer, MonotonicTime now);
+    void onProgress(TableState &state, MonotonicTime now);
+    bool isWaitingInVain(const TableState &state, MonotonicTime now) const;
     void logReaderRole(bool reads, MonotonicTime now);
     void onStoreFailure(TableState &state, const std::error_code &error, MonotonicTime now);
-    void pullFromPeer(TableState &state, const PeerReplicaStatus &peer);
+    void pullFromPeers(TableState &state);
     void onPullResponse(TableState &state, const HostId &host, const Result<http::HttpResponse> &response);
     std::string compressedRows(const TableState &state, std::uint64_t after);
     void onTableChanged(const TableState &state, std::string_view from);
--- a/packages/gateway/unittests/replicationsimulation.cpp
+++ b/packages/gateway/unittests/replicationsimulation.cpp
@@ -515,7 +515,8 @@
 void Simulation::execute(const std::shared_ptr<Process> &process, Duration cost, std::function<void()> action)
 {
     auto &host = this->hostOf(*process);
-    const auto factor = this->plan.costFactor * (this->scheduler.now() < host.slowUntil ? SlowdownFactor : 1);
+    // Both factors together exceed the capacity of a host, so that its work would pile up beyond the end of the fault.
+    const auto factor = this->scheduler.now() < host.slowUntil ? SlowdownFactor : this->plan.costFactor;
     host.busyUntil = std::max({this->scheduler.now(), host.busyUntil, host.frozenUntil}) + cost * factor;
     this->scheduler.at(host.busyUntil, [this, weak = process->weak_from_this(), action = std::move(action)] {
         const auto alive = weak.lock();
--- a/packages/gateway/unittests/statesynctest.cpp
+++ b/packages/gateway/unittests/statesynctest.cpp
@@ -283,6 +283,28 @@
     CHECK(pull() == 500ms);
 }
 
+TEST_CASE("a host keeps waiting for peers that announce a change and never deliver it")
+{
+    SyncFixture fixture;
+    fixture.startWith({{"s1", "ready", 5, false}});
+    fixture.sync.setRank(1);
+    fixture.peers.setServer([](const http::HttpCall &) {
+        return http::HttpOutcome{make_error_code(http::HttpError::Timeout), true};
+    });
+    fixture.sync.onPeerReplicaStatus(fixture.peer(20, 10, 10ms));
+    fixture.settle();
+    fixture.source.calls.clear();
+    fixture.clock.advance(500ms);
+    fixture.sync.onPeerReplicaStatus(fixture.peer(20, 10, 10ms));
+    fixture.tick();
+    CHECK(fixture.source.pending(SourceTable::Configuration) == nullptr);
+    fixture.clock.advance(200ms);
+    fixture.sync.onPeerReplicaStatus(fixture.peer(20, 10, 10ms));
+    fixture.tick();
+    CHECK(fixture.source.pending(SourceTable::Configuration) != nullptr);
+    CHECK(fixture.source.pending(SourceTable::Servers) == nullptr);
+}
+
 TEST_CASE("an unreachable peer does not change the timeout of a pull")
 {
     SyncFixture fixture;
