Ignore rows of a watch response that a peer's copy has overtaken

A failure domain that had been taken back could count as evacuated again, and a removed server as present, until the next full read: a watch response for version 12 arrived after the copy of a peer at version 15, in which a row of version 12 is gone, and inserted the row. The replica is complete up to its position, so rows of a batch up to it are old. Removals keep their check, since their version may be that of the removed row. The new case of tablereplicatest fails without the change.

--- a/packages/gateway/lib/tablereplica.cpp
+++ b/packages/gateway/lib/tablereplica.cpp
@@ -83,7 +83,12 @@
 {
     this->removed.clear();
     bool hasChanged = false;
+    // The response of a peer may have overtaken the batch; of its rows, those that the replica lacks have been removed since.
+    const auto completeUntil = this->watchPosition;
     for (const auto &row : batch.rows) {
+        if (!row.isRemoved && row.version <= completeUntil) {
+            continue;
+        }
         if (!row.isRemoved) {
             hasChanged = this->upsert(row.key, row.value, row.version, now) || hasChanged;
             continue;
--- a/packages/gateway/unittests/tablereplicatest.cpp
+++ b/packages/gateway/unittests/tablereplicatest.cpp
@@ -34,6 +34,20 @@
     CHECK(replica.rows().empty());
 }
 
+TEST_CASE("a removed row returns with a watch response that a newer copy of a peer has overtaken")
+{
+    testing::VirtualClock clock;
+    TableReplica replica;
+    replica.replace(batch(10, {{"config", "1", 3, false}}), clock.now());
+    wire::ReplicaAnswer answer;
+    answer.version = 15;
+    answer.__set_removed({"evacuate/a"});
+    replica.applyPeerResponse(answer, clock.now());
+    CHECK_FALSE(replica.apply(batch(12, {{"evacuate/a", "", 12, false}}), clock.now()));
+    CHECK_FALSE(replica.rows().contains("evacuate/a"));
+    CHECK(replica.position() == 15);
+}
+
 TEST_CASE("a stale read of the full table does not revert the replica")
 {
     testing::VirtualClock clock;
