--- a/packages/gateway/lib/tablereplica.cpp
+++ b/packages/gateway/lib/tablereplica.cpp
@@ -8,6 +8,9 @@
 /// Length of the removal history; exceeds the number of servers that a fleet loses within the time that a peer may lag.
 static constexpr std::size_t MaxRemovals = 1000;
 
+/// Older rows have the same effect; bounds what a peer may send.
+static constexpr std::chrono::milliseconds MaxRowAge = std::chrono::hours(24);
+
 /// Records a change of the replica, and the rows that the current call removed.
 void TableReplica::recordChange(std::uint64_t version)
 {
@@ -116,7 +119,7 @@
         hasChanged = this->eraseRow(key) || hasChanged;
     }
     for (const auto &row : response.rows) {
-        const auto receivedAt = now - std::chrono::milliseconds(row.ageMs);
+        const auto receivedAt = now - std::min(MaxRowAge, std::chrono::milliseconds(std::max<std::int64_t>(0, row.ageMs)));
         hasChanged = this->upsert(row.key, row.value, static_cast<std::uint64_t>(row.version), receivedAt) || hasChanged;
     }
     if (response.__isset.keys) {
