--- a/packages/config/lib/jsonreader.cpp
+++ b/packages/config/lib/jsonreader.cpp
@@ -24,11 +24,27 @@
     return line;
 }
 
+/// Tables and settings are nested up to 6 levels deep; copies and texts of a JSON value recurse.
+static constexpr int MaxNesting = 64;
+
 std::optional<nlohmann::json> parseDocument(std::string_view text, const std::string &path, Problems &problems)
 {
+    bool isTooDeep = false;
+    const auto isKept = [&isTooDeep](int depth, nlohmann::json::parse_event_t, const nlohmann::json &) {
+        isTooDeep = isTooDeep || depth > MaxNesting;
+        return depth <= MaxNesting;
+    };
     // The parser reports errors by exceptions only; none may leave this package.
     try {
-        return nlohmann::json::parse(text, nullptr, true, true);
+        auto document = nlohmann::json::parse(text, isKept, true, true);
+        if (!isTooDeep) {
+            return document;
+        }
+        problems.push_back({make_error_code(ConfigError::MalformedDocument),
+                            path,
+                            "nested more than " + std::to_string(MaxNesting) + " levels deep",
+                            "JSON with comments"});
+        return std::nullopt;
     } catch (const nlohmann::json::parse_error &error) {
         problems.push_back({make_error_code(ConfigError::MalformedDocument), path, error.what(), "JSON with comments"});
         return std::nullopt;
--- a/packages/config/unittests/codectest.cpp
+++ b/packages/config/unittests/codectest.cpp
@@ -67,6 +67,19 @@
     CHECK_FALSE(decodeChange(R"({"version": 1, "id": "x", "mutations": [], "extra": 1})"));
 }
 
+// Guards against a recursion as deep as the document.
+TEST_CASE("a deeply nested document ends the process")
+{
+    const auto deep = std::string(200'000, '[') + std::string(200'000, ']');
+    CHECK_FALSE(decodeChange(deep));
+    CHECK_FALSE(decodeChange(R"({"version": 1, "id": "x", "mutations": [], "extra": )" + deep + "}"));
+    CHECK_FALSE(decodeChange(R"({"version": 1, "id": "x", "mutations": [{"table": )" + deep + R"(, "delete": "a"}]})"));
+    Problems problems;
+    parsePools(R"({"pools": [{"name": )" + deep + "}]}", "pools.json", problems);
+    REQUIRE_FALSE(problems.empty());
+    CHECK(problems[0].error == make_error_code(ConfigError::MalformedDocument));
+}
+
 // Guards against a misspelt field that silently falls back to its default.
 TEST_CASE("faults in tables are reported with path, value and what is allowed")
 {
