Pass on removals of rows that the own replica never had

A removed row could stay at a host for good: a key, server or evacuation that was added at version 10 and removed at 15. A host at version 10 pulls from a peer that went from 6 to 15. That peer never had the row, so its history of removals lacked the key although it claimed to reach back to 6; or nothing changed for the peer, so that it announced no new version at all. The same after a read of the full table.

A removal is now recorded and announced whether or not the replica had the row, and a read of the full table or a full list of keys starts a new history, so that peers further behind get all keys. The new case of tablereplicatest fails in its three parts before.

--- a/packages/gateway/lib/tablereplica.cpp
+++ b/packages/gateway/lib/tablereplica.cpp
@@ -11,22 +11,32 @@
 /// Older rows have the same effect; bounds what a peer may send.
 static constexpr std::chrono::milliseconds MaxRowAge = std::chrono::hours(24);
 
-/// Records a change of the replica, and the rows that the current call removed.
+/// Records a change of the replica.
 void TableReplica::recordChange(std::uint64_t version)
 {
     if (this->newestChangeVersion == 0) {
         this->removalHistoryStart = version;
     }
     this->newestChangeVersion = version;
-    for (const auto &[key, row] : this->removed) {
-        this->removals.push_back({version, key});
-    }
+}
+
+/// Records the removal of a row for peers that may have it, whether or not this replica had it.
+void TableReplica::recordRemoval(const std::string &key, std::uint64_t version)
+{
+    this->removals.push_back({version, key});
     while (this->removals.size() > MaxRemovals) {
         this->removalHistoryStart = this->removals.front().version;
         this->removals.pop_front();
     }
 }
 
+/// Discards the removals up to \p version, since some before it are unknown.
+void TableReplica::forgetRemovals(std::uint64_t version)
+{
+    this->removals.clear();
+    this->removalHistoryStart = version;
+}
+
 bool TableReplica::upsert(const std::string &key, std::string value, std::uint64_t version, MonotonicTime receivedAt)
 {
     auto &row = this->currentRows[key];
@@ -68,18 +78,17 @@
     if (batch.version < this->watchPosition) {
         return false;
     }
-    bool hasChanged = false;
     std::set<std::string> keys;
     for (const auto &row : batch.rows) {
         keys.insert(row.key);
-        hasChanged = this->upsert(row.key, row.value, row.version, now) || hasChanged;
+        this->upsert(row.key, row.value, row.version, now);
     }
-    hasChanged = this->eraseAllExcept(keys) || hasChanged;
+    this->eraseAllExcept(keys);
     this->watchPosition = batch.version;
-    if (hasChanged) {
-        this->recordChange(batch.version);
-    }
-    return hasChanged;
+    const bool isNewer = batch.version > this->newestChangeVersion;
+    this->recordChange(batch.version);
+    this->forgetRemovals(batch.version);
+    return isNewer;
 }
 
 bool TableReplica::apply(const SourceBatch &batch, MonotonicTime now)
@@ -97,8 +106,12 @@
             continue;
         }
         const auto found = this->currentRows.find(row.key);
-        const bool isNewer = found != this->currentRows.end() && found->second.version > row.version;
-        hasChanged = (!isNewer && this->eraseRow(row.key)) || hasChanged;
+        if (found != this->currentRows.end() && found->second.version > row.version) {
+            continue;
+        }
+        this->recordRemoval(row.key, std::max(completeUntil, batch.version));
+        // A peer may have the row although this replica never did.
+        hasChanged = this->eraseRow(row.key) || row.version > completeUntil || hasChanged;
     }
     this->watchPosition = std::max(this->watchPosition, batch.version);
     if (hasChanged) {
@@ -116,6 +129,7 @@
     }
     bool hasChanged = false;
     for (const auto &key : response.removed) {
+        this->recordRemoval(key, version);
         hasChanged = this->eraseRow(key) || hasChanged;
     }
     for (const auto &row : response.rows) {
@@ -124,6 +138,7 @@
     }
     if (response.__isset.keys) {
         hasChanged = this->eraseAllExcept({response.keys.begin(), response.keys.end()}) || hasChanged;
+        this->forgetRemovals(version);
     }
     this->watchPosition = version;
     this->recordChange(version);
--- a/packages/gateway/lib/tablereplica.h
+++ b/packages/gateway/lib/tablereplica.h
@@ -14,7 +14,7 @@
 class TableReplica
 {
 public:
-    /// Replaces the replica by the full table; returns whether it changed. A batch older than the replica is ignored.
+    /// Replaces the replica by the full table; returns whether it was newer. A batch older than the replica is ignored.
     ///
     /// Precondition: \p now does not go back.
     bool replace(const SourceBatch &batch, MonotonicTime now);
@@ -59,13 +59,15 @@
     };
 
     void recordChange(std::uint64_t version);
+    void recordRemoval(const std::string &key, std::uint64_t version);
+    void forgetRemovals(std::uint64_t version);
     bool upsert(const std::string &key, std::string value, std::uint64_t version, MonotonicTime receivedAt);
     bool eraseRow(const std::string &key);
     bool eraseAllExcept(const std::set<std::string> &keys);
 
     ReplicatedRows currentRows;
     ReplicatedRows removed;
-    /// Recent removals, oldest first, for peers that are slightly behind.
+    /// Recent removals, oldest first, for peers that are slightly behind; also of rows that this replica never had.
     std::deque<Removal> removals;
     /// Removals up to this version are not in the history.
     std::uint64_t removalHistoryStart = 0;
--- a/packages/gateway/unittests/replicationsimulation.cpp
+++ b/packages/gateway/unittests/replicationsimulation.cpp
@@ -722,7 +722,11 @@
             }
         }
         if (expected != state->evacuatedDomains || expectedConfiguration != applied) {
-            this->report(host, "rows differ from those of the store at version " + std::to_string(version));
+            this->report(host,
+                         "rows differ from those of the store at version " + std::to_string(version) + ": configuration "
+                             + std::to_string(applied) + " in place of " + std::to_string(expectedConfiguration) + ", "
+                             + std::to_string(state->evacuatedDomains.size()) + " evacuated domains in place of "
+                             + std::to_string(expected.size()));
         }
     }
     if (!this->isJudged(host)) {
--- a/packages/gateway/unittests/tablereplicatest.cpp
+++ b/packages/gateway/unittests/tablereplicatest.cpp
@@ -48,6 +48,46 @@
     CHECK(replica.position() == 15);
 }
 
+/// Returns the rows of a replica at version 10 with row b, after it has pulled from \p peer.
+static ReplicatedRows rowsAfterPullFrom(const TableReplica &peer, const testing::VirtualClock &clock)
+{
+    TableReplica behind;
+    behind.replace(batch(10, {{"a", "1", 3, false}, {"b", "1", 10, false}}), clock.now());
+    REQUIRE(peer.version() > behind.version());
+    behind.applyPeerResponse(peer.changesSince(behind.version(), clock.now()), clock.now());
+    return behind.rows();
+}
+
+TEST_CASE("a removal is lost on the way over a host that never had the row")
+{
+    testing::VirtualClock clock;
+    const auto rowAlone = batch(6, {{"a", "1", 3, false}});
+    SUBCASE("from the store")
+    {
+        TableReplica peer;
+        peer.replace(rowAlone, clock.now());
+        peer.apply(batch(15, {{"b", "", 15, true}}), clock.now());
+        CHECK_FALSE(rowsAfterPullFrom(peer, clock).contains("b"));
+    }
+    SUBCASE("from a read of the full table")
+    {
+        TableReplica peer;
+        peer.replace(rowAlone, clock.now());
+        peer.replace(batch(15, {{"a", "1", 3, false}}), clock.now());
+        CHECK_FALSE(rowsAfterPullFrom(peer, clock).contains("b"));
+    }
+    SUBCASE("from another peer")
+    {
+        TableReplica source;
+        source.replace(batch(10, {{"a", "1", 3, false}, {"b", "1", 10, false}}), clock.now());
+        source.apply(batch(15, {{"b", "", 15, true}}), clock.now());
+        TableReplica peer;
+        peer.replace(rowAlone, clock.now());
+        peer.applyPeerResponse(source.changesSince(peer.version(), clock.now()), clock.now());
+        CHECK_FALSE(rowsAfterPullFrom(peer, clock).contains("b"));
+    }
+}
+
 TEST_CASE("a stale read of the full table does not revert the replica")
 {
     testing::VirtualClock clock;
