Admit requests during a planned stop only if they end before the process

From SIGTERM on a request that may run at most once is admitted only if its whole time limit ends before the process, an idempotent one if a second is left; others get 503 at once, not run, with Retry-After 0, since other hosts serve. Deadlines of requests in progress, and those handed to servers, end 100 ms before the process, so each gets a true response. The flows register in a set that they share, since some outlive the context; the counter that they decreased then was freed.

--- a/packages/gateway/include/rhubarbtiller/gateway/dialect.h
+++ b/packages/gateway/include/rhubarbtiller/gateway/dialect.h
@@ -42,6 +42,8 @@
     RetryBudgetSpent,
     OutcomeUnknown,
     DeadlinePassed,
+    /// The process ends before the request could.
+    Stopping,
 };
 
 /// Returns the name of the reason in logs, metrics and responses. Precondition: none. Thread safety: any thread.
--- a/packages/gateway/lib/dialect.cpp
+++ b/packages/gateway/lib/dialect.cpp
@@ -31,6 +31,8 @@
         return "outcome_unknown";
     case RefusalReason::DeadlinePassed:
         return "deadline_passed";
+    case RefusalReason::Stopping:
+        return "stopping";
     }
     return "unknown";
 }
--- a/packages/gateway/lib/gatewayprocess.cpp
+++ b/packages/gateway/lib/gatewayprocess.cpp
@@ -239,8 +239,7 @@
            [this] {
                const auto status = this->stateSync.replicaStatus();
                return std::pair(status.configurationVersion, status.announcedConfigurationVersion);
-           },
-           0}
+           }}
     , useMonitor(settings.failureDomain, metrics)
     , stateSync({controlContext,
                  clock,
@@ -476,7 +475,7 @@
                               current.get(),
                               this->stateSync.replicaStatus(),
                               this->hasConfiguration.load() && !this->isStopping.load(),
-                              this->flow.requestsInProgress};
+                              this->flow.requestsInProgress()};
     return {200, {{"Content-Type", "application/json"}}, statePage(page, this->clock.now())};
 }
 
@@ -500,7 +499,11 @@
         return;
     }
     this->stopBeganAt = this->clock.now();
-    logEvent(LogLevel::Info, "stopping", {{"requests", this->flow.requestsInProgress}});
+    this->flow.endsAt = this->stopBeganAt + this->settings.stopGrace - StopMargin;
+    for (auto *const open : *this->flow.flows) {
+        open->onStopPlanned();
+    }
+    logEvent(LogLevel::Info, "stopping", {{"requests", this->flow.requestsInProgress()}});
     this->directory.beginLeaving();
     this->callerServer->closeAfterResponses();
     this->peerLink.announce();
@@ -526,10 +529,10 @@
 void GatewayProcess::Parts::checkStop()
 {
     const auto now = this->clock.now();
-    const bool isIdle = this->flow.requestsInProgress == 0 && now - this->flow.lastRequestAt >= StopIdleTime
+    const bool isIdle = this->flow.requestsInProgress() == 0 && now - this->flow.lastRequestAt >= StopIdleTime
         && now - this->stopBeganAt >= this->settings.addressLifetime * StopAddressLifetimes;
-    if (isIdle || now - this->stopBeganAt >= this->settings.stopGrace - StopMargin) {
-        logEvent(LogLevel::Info, "stopped", {{"requests", this->flow.requestsInProgress}});
+    if (isIdle || now >= this->flow.endsAt) {
+        logEvent(LogLevel::Info, "stopped", {{"requests", this->flow.requestsInProgress()}});
         this->onStopped();
         return;
     }
--- a/packages/gateway/lib/requestflow.cpp
+++ b/packages/gateway/lib/requestflow.cpp
@@ -46,15 +46,30 @@
 static constexpr Duration NoServerRetryAfter = milliseconds(500);
 static constexpr Duration NoConfigurationRetryAfter = milliseconds(300);
 
+/// The last responses are sent this long before the process ends.
+static constexpr Duration LastResponseMargin = milliseconds(100);
+
+/// An idempotent request is admitted during a planned stop if this much time is left; the caller may repeat it elsewhere.
+static constexpr Duration UsualServiceTime = milliseconds(1000);
+
+/// Other hosts serve while this one stops.
+static constexpr Duration StoppingRetryAfter = milliseconds(0);
+
+/// Returns the time of the last responses of a process that ends at \p endsAt.
+static MonotonicTime lastResponseAt(MonotonicTime endsAt)
+{
+    return endsAt == MonotonicTime::max() ? endsAt : endsAt - LastResponseMargin;
+}
+
 RequestFlow::RequestFlow(FlowContext &flowContext, std::shared_ptr<http::Responder> callerResponder)
-    : flow(flowContext), responder(std::move(callerResponder)), timer(flowContext.context)
+    : flow(flowContext), openFlows(flowContext.flows), responder(std::move(callerResponder)), timer(flowContext.context)
 {
-    ++this->flow.requestsInProgress;
+    this->openFlows->insert(this);
 }
 
 RequestFlow::~RequestFlow()
 {
-    --this->flow.requestsInProgress;
+    this->openFlows->erase(this);
 }
 
 void RequestFlow::start(http::HttpRequest message)
@@ -207,6 +222,10 @@
     const auto timeout = std::min(this->request.timeout.value_or(DefaultTimeout),
                                   this->route->timeLimit > Duration(0) ? this->route->timeLimit : DefaultTimeout);
     this->deadline = this->arrivedAt + timeout - ResponseMargin;
+    if (!this->canEndInTime()) {
+        return Refusal{RefusalReason::Stopping, true, StoppingRetryAfter};
+    }
+    this->deadline = std::min(this->deadline, lastResponseAt(this->flow.endsAt));
     if (!this->organisation.isEmpty()) {
         this->quota = this->flow.quota.admit(this->organisation, this->arrivedAt);
         if (this->quota.retryAfter) {
@@ -222,6 +241,22 @@
     return std::nullopt;
 }
 
+/// Returns whether a planned stop leaves enough time: all that the request may take, if it must not be repeated.
+bool RequestFlow::canEndInTime() const
+{
+    const auto end = this->isIdempotent() ? std::min(this->deadline, this->arrivedAt + UsualServiceTime) : this->deadline;
+    return end <= lastResponseAt(this->flow.endsAt);
+}
+
+void RequestFlow::onStopPlanned()
+{
+    if (this->isFinished) {
+        return;
+    }
+    this->deadline = std::min(this->deadline, lastResponseAt(this->flow.endsAt));
+    this->armTimer();
+}
+
 bool RequestFlow::isIdempotent() const
 {
     return this->route->retrySemantics == catalog::RetrySemantics::Idempotent;
--- a/packages/gateway/lib/requestflow.h
+++ b/packages/gateway/lib/requestflow.h
@@ -17,8 +17,12 @@
 
 #include <asio/steady_timer.hpp>
 
+#include <set>
+
 namespace rhubarbtiller::gateway {
 
+class RequestFlow;
+
 /// State shared by all request flows. Thread safety: the thread of the serving context.
 struct FlowContext
 {
@@ -38,7 +42,6 @@
     std::function<void()> onEvidenceRecorded;
     /// Returns the store versions of the configuration: that of this host, and the newest that a peer announced.
     std::function<std::pair<std::uint64_t, std::uint64_t>()> configurationVersions;
-    std::uint64_t requestsInProgress = 0;
     DispatchQueue dispatchQueue{};
     RequestLog log{};
     /// Exports the spans; null disables tracing.
@@ -47,6 +50,16 @@
     /// When a request of an organisation was last admitted.
     MonotonicTime lastAdmittedAt{};
     balance::ServiceOutcomes outcomes{};
+    /// When the process ends; the end of time while no stop is planned.
+    MonotonicTime endsAt = MonotonicTime::max();
+    /// The flows that exist, whether or not they have responded; shared with them, as they may outlive the context.
+    std::shared_ptr<std::set<RequestFlow *>> flows = std::make_shared<std::set<RequestFlow *>>();
+
+    /// Returns the number of requests in progress. Precondition: none.
+    std::uint64_t requestsInProgress() const
+    {
+        return this->flows->size();
+    }
 };
 
 /// Processes one request of a caller: admission, placement, attempts and retries, and the response.
@@ -67,6 +80,9 @@
     bool tryStart() override;
     void onRejected() override;
 
+    /// Has the request end before the process does. Precondition: the end of the process is set in the context; start() was called.
+    void onStopPlanned();
+
 private:
     struct Attempt
     {
@@ -81,6 +97,7 @@
     };
 
     std::optional<Refusal> admit();
+    bool canEndInTime() const;
     std::optional<Refusal> sendNext(bool isRetry);
     std::optional<Refusal> sendOrEnqueue(bool isRetry);
     bool joinQueue();
@@ -105,6 +122,7 @@
     void record(std::string_view outcome, int status);
 
     FlowContext &flow;
+    const std::shared_ptr<std::set<RequestFlow *>> openFlows;
     std::shared_ptr<http::Responder> responder;
     std::shared_ptr<const catalog::FleetState> state;
     CallerRequest request;
--- a/packages/gateway/unittests/requestflowtest.cpp
+++ b/packages/gateway/unittests/requestflowtest.cpp
@@ -197,8 +197,7 @@
                      },
                      [this] {
                          return this->versions;
-                     },
-                     0};
+                     }};
     /// Store versions of the configuration: that of this host, and the newest that a peer announced.
     std::pair<std::uint64_t, std::uint64_t> versions{1, 1};
     int requests = 0;
@@ -456,3 +455,38 @@
     REQUIRE(refused > 24);
     CHECK(used.size() >= 7);
 }
+
+TEST_CASE("a request that may outlast the process is passed on during a planned stop")
+{
+    FlowFixture fixture;
+    fixture.flow.endsAt = fixture.clock.now() + 1500ms;
+    const auto write = fixture.sendRequest("/write/1");
+    REQUIRE(write->response);
+    CHECK(write->response->status == 503);
+    CHECK(reasonOf(*write) == "stopping");
+    CHECK(fixture.backend.sent.empty());
+    // The caller's own limit lets it end in time.
+    CHECK_FALSE(fixture.sendRequest("/write/2", "1000")->response);
+    CHECK_FALSE(fixture.sendRequest("/read/1")->response);
+    CHECK(fixture.backend.sent.size() == 2);
+    fixture.flow.endsAt = fixture.clock.now() + 500ms;
+    CHECK(reasonOf(*fixture.sendRequest("/read/2")) == "stopping");
+    CHECK(fixture.backend.sent.size() == 2);
+}
+
+TEST_CASE("a request that is in progress when the process ends gets no response")
+{
+    FlowFixture fixture(1);
+    const auto running = fixture.sendRequest("/write/1");
+    REQUIRE(fixture.backend.sent.size() == 1);
+    fixture.flow.endsAt = fixture.clock.now() + 600ms;
+    for (auto *const open : *fixture.flow.flows) {
+        open->onStopPlanned();
+    }
+    CHECK_FALSE(running->response);
+    fixture.advanceTime(500ms);
+    REQUIRE(running->response);
+    CHECK(running->response->status == 502);
+    CHECK(reasonOf(*running) == "deadline_passed");
+    CHECK(fixture.backend.sent[0]->isCancelled);
+}
--- a/tests/soak/gatewayfleet.cpp
+++ b/tests/soak/gatewayfleet.cpp
@@ -146,6 +146,11 @@
     return *this->hosts[static_cast<std::size_t>(host)].storeLink;
 }
 
+std::string GatewayFleet::callerAddress(int host) const
+{
+    return endpointOf(this->hosts[static_cast<std::size_t>(host)].ip, CallerPort);
+}
+
 int GatewayFleet::hostOf(const std::string &callerAddress) const
 {
     for (std::size_t i = 0; i < this->hosts.size(); ++i) {
--- a/tests/soak/gatewayfleet.h
+++ b/tests/soak/gatewayfleet.h
@@ -44,6 +44,9 @@
     /// Returns the link from a host to the store; used on the thread of the io_context. Precondition: none.
     FaultProxy &storeLink(int host);
 
+    /// Returns the address of a host for callers. Precondition: none.
+    std::string callerAddress(int host) const;
+
     /// Returns the number of the host with a caller address, or -1. Thread safety: any thread.
     int hostOf(const std::string &callerAddress) const;
 
