--- a/packages/gateway/lib/statesync.cpp
+++ b/packages/gateway/lib/statesync.cpp
@@ -15,7 +15,7 @@
 
 /// How long one call waits for changes; bounds the age of a reader's contact with the store while nothing changes.
 ///
-/// docs/design.md adds up the times until a change is in force on all hosts after a reader fails.
+/// docs/platform.md adds up the times until a change is in force on all hosts after a reader fails.
 static constexpr std::chrono::milliseconds WatchTimeout{800};
 
 /// Interval of the checks whether this host has to read the store itself.
--- a/packages/gateway/unittests/replicationhistorytest.cpp
+++ b/packages/gateway/unittests/replicationhistorytest.cpp
@@ -67,9 +67,8 @@
             plan.length = 12s;
             const auto from = 7s + offset;
             plan.faults = {{each.kind, each.target, each.share, from, from + 4500ms}};
-            plan.changes = {{StoreChange::AddServer, from - 25ms},
-                            {StoreChange::Configuration, from - 25ms},
-                            {StoreChange::Configuration, from + 1ms}};
+            plan.changes = {
+                {StoreChange::AddServer, from - 25ms}, {StoreChange::Configuration, from - 25ms}, {StoreChange::Configuration, from + 1ms}};
             const auto result = simulateReplication(plan);
             slowest = std::max(slowest, result.slowestChange);
             broken += result.violations.empty() ? 0 : 1;
