Wait for a heartbeat before another pull from a host that has ended

Found in review of the pulls: a peer whose port is closed fails a pull at once and was asked again with each tick, 10 times a second for 5 s, a log line each.

--- a/packages/gateway/lib/pullschedule.cpp
+++ b/packages/gateway/lib/pullschedule.cpp
@@ -31,6 +31,7 @@
     auto &peer = this->peers[announcement.host];
     peer.announcement = announcement;
     peer.receivedAt = now;
+    peer.hasAnnounced = true;
     this->newestAnnouncement = std::max(this->newestAnnouncement, announcement.version);
     if (announcement.version > ownVersion && !this->behindFrom) {
         this->behindFrom = now;
@@ -86,7 +87,7 @@
             return std::nullopt;
         }
         const bool isRemote = peer.announcement.failureDomain != this->ownDomain;
-        const bool isLost = now - peer.receivedAt > PeerRetention;
+        const bool isLost = !peer.hasAnnounced || now - peer.receivedAt > PeerRetention;
         if (isLost || peer.hasPendingPull || peer.announcement.version <= ownVersion || (isRemote && !allowsRemote)) {
             continue;
         }
@@ -113,8 +114,12 @@
         return;
     }
     peer.hasFailed = true;
+    if (outcome == PullOutcome::Failed) {
+        peer.hasAnnounced = false;
+        return;
+    }
     peer.failedAt = now;
-    this->timeouts += outcome == PullOutcome::TimedOut ? 1 : 0;
+    ++this->timeouts;
 }
 
 } // namespace rhubarbtiller::gateway
--- a/packages/gateway/lib/pullschedule.h
+++ b/packages/gateway/lib/pullschedule.h
@@ -87,6 +87,8 @@
         VersionAnnouncement announcement;
         MonotonicTime receivedAt{};
         bool hasPendingPull = false;
+        /// Whether a heartbeat arrived since the last pull that failed at once; a host that has ended sends none.
+        bool hasAnnounced = false;
         /// Whether a pull from the peer failed since the replica is behind.
         bool hasFailed = false;
         MonotonicTime failedAt{};
--- a/packages/gateway/unittests/pullscheduletest.cpp
+++ b/packages/gateway/unittests/pullscheduletest.cpp
@@ -60,6 +60,20 @@
     CHECK(fixture.next() == "a2");
 }
 
+TEST_CASE("pulls from a host that has ended follow each other without a pause")
+{
+    ScheduleFixture fixture;
+    fixture.announce("a1", 15);
+    CHECK(fixture.next() == "a1");
+    fixture.schedule.onEnd(HostId("a1"), PullOutcome::Failed, fixture.clock.now());
+    for (int i = 0; i < 10; ++i) {
+        fixture.clock.advance(100ms);
+        CHECK(fixture.next().empty());
+    }
+    fixture.announce("a1", 15);
+    CHECK(fixture.next() == "a1");
+}
+
 TEST_CASE("pulls that compete for a slow link delay each other")
 {
     ScheduleFixture fixture;
