--- a/review/standin/forged-entry.cc
+++ b/review/standin/forged-entry.cc
@@ -9,10 +9,11 @@
 
 static int play(const std::string &program, Record &record)
 {
-    Store store;
-    Arrivals arrivals;
+    // The threads of the stand-ins run until the process ends, so these objects are never freed.
+    auto &store = *new Store;
+    auto &arrivals = *new Arrivals;
     const std::vector<std::string> zones{"zone-a", "zone-b", "zone-c"};
-    std::vector<std::unique_ptr<Server>> servers;
+    auto &servers = *new std::vector<std::unique_ptr<Server>>;
     for (int i = 0; i < 6; ++i) {
         servers.push_back(std::make_unique<Server>("i-" + std::to_string(i), arrivals, record, [](const Message &) {
             return milliseconds(200);
--- a/review/standin/stop-pipelined.cc
+++ b/review/standin/stop-pipelined.cc
@@ -9,14 +9,15 @@
 
 static int play(const std::string &program, Record &record)
 {
-    Store store;
-    Arrivals arrivals;
+    // The threads of the stand-ins run until the process ends, so these objects are never freed.
+    auto &store = *new Store;
+    auto &arrivals = *new Arrivals;
     const std::vector<std::string> zones{"zone-a", "zone-b", "zone-c"};
     const auto work = [](const Message &request) {
         // The first request takes the usual time, the later ones a little longer.
         return request.header("Attempt-Id").ends_with("-0") ? milliseconds(400) : milliseconds(700);
     };
-    std::vector<std::unique_ptr<Server>> servers;
+    auto &servers = *new std::vector<std::unique_ptr<Server>>;
     for (int i = 0; i < 6; ++i) {
         servers.push_back(std::make_unique<Server>("i-" + std::to_string(i), arrivals, record, work));
         store.put("servers", servers.back()->id, servers.back()->entry("seats", zones[static_cast<std::size_t>(i) % 3]).dump());
