Close a stopping connection with the response to its newest request

Callers saw: a planned stop (SIGTERM) while several requests of one connection were at work at sound servers. They got the first response and a closed connection; the other requests were dropped at their servers.

Cause: a stopping host put "Connection: close" on the next response of a connection, whichever request it belonged to. RESTinio closes the connection after it and discards the responses behind it.

Change: with the first response that is ready during a stop no further request of the connection is begun, and the response to the newest begun one closes it, in whatever order responses get ready. The same holds for requests behind a caller's own "Connection: close", which were begun and dropped.

--- a/packages/http/include/rhubarbtiller/http/httpserver.h
+++ b/packages/http/include/rhubarbtiller/http/httpserver.h
@@ -71,12 +71,14 @@
     /// Returns the address with the port that was bound. Precondition: started. Thread safety: any thread.
     virtual Endpoint boundAddress() const = 0;
 
-    /// Has every response from now on close its connection; new connections are still accepted.
+    /// Has every connection close with the response to the newest request that its handler works on when the next response is ready.
+    ///
+    /// Requests behind that one are not given to the handler. New connections are still accepted.
     ///
     /// Precondition: started. Thread safety: any thread.
     virtual void closeAfterResponses() = 0;
 
-    /// Closes the listening socket; open connections live on, and every response from now on closes its connection.
+    /// Closes the listening socket; open connections live on until they close as after closeAfterResponses().
     ///
     /// Precondition: started. Thread safety: any thread.
     virtual void stopAccepting() = 0;
--- a/packages/http/lib/guardedsocket.cpp
+++ b/packages/http/lib/guardedsocket.cpp
@@ -7,6 +7,8 @@
 
 #include <http_parser.h>
 
+#include <algorithm>
+
 namespace rhubarbtiller::http {
 
 // A caller that keeps sending is cut off after this time; closing earlier could reset the connection before the
@@ -82,9 +84,19 @@
     this->isHandlingRead = isHandling;
 }
 
-void AcceptedConnection::onRequestDispatched()
+std::uint64_t AcceptedConnection::onRequestDispatched()
+{
+    return ++this->dispatched;
+}
+
+bool AcceptedConnection::onResponseReady(std::uint64_t number, bool shouldEnd)
 {
-    ++this->dispatched;
+    const bool isNewest = number == this->begun;
+    this->newestReady = std::max(this->newestReady, number);
+    // A response that is ready cannot announce the close any more.
+    const bool canAnnounceEnd = isNewest || this->newestReady < this->begun;
+    this->isEnding = this->isEnding || (shouldEnd && canAnnounceEnd);
+    return this->isEnding && isNewest;
 }
 
 void AcceptedConnection::onResponseWritten()
@@ -261,20 +273,22 @@
     this->disconnectHandlers.erase(number);
 }
 
-void AcceptedConnection::enqueue(std::function<void()> work, std::size_t maxConcurrent)
+void AcceptedConnection::enqueue(std::function<void()> work, bool isLast, std::size_t maxConcurrent)
 {
     this->maxRunning = maxConcurrent;
-    this->queued.push_back(std::move(work));
+    this->queued.push_back({std::move(work), isLast});
     this->startQueued();
 }
 
 void AcceptedConnection::startQueued()
 {
-    while (!this->isReleased && !this->queued.empty() && this->running < this->maxRunning) {
+    while (!this->isReleased && !this->isEnding && !this->queued.empty() && this->running < this->maxRunning) {
         ++this->running;
-        const auto work = std::move(this->queued.front());
+        ++this->begun;
+        const auto next = std::move(this->queued.front());
         this->queued.pop_front();
-        work();
+        this->isEnding = next.isLast;
+        next.work();
     }
 }
 
--- a/packages/http/lib/guardedsocket.h
+++ b/packages/http/lib/guardedsocket.h
@@ -49,8 +49,14 @@
     /// Marks that RESTinio is handling what was read.
     void setHandlingRead(bool isHandling);
 
-    /// Notes that RESTinio handed a request over.
-    void onRequestDispatched();
+    /// Notes that RESTinio handed a request over; returns its number on the connection, from 1 on.
+    std::uint64_t onRequestDispatched();
+
+    /// Notes that the response to a request is ready; returns whether the connection closes with it.
+    ///
+    /// With \p shouldEnd no further request is begun, and the response to the newest one that was begun closes the connection. If that
+    /// response was ready before, the one to the next request does.
+    bool onResponseReady(std::uint64_t number, bool shouldEnd);
 
     /// Notes that a response was written or given up.
     void onResponseWritten();
@@ -67,13 +73,20 @@
     /// Drops a handler. Thread safety: any thread.
     void removeDisconnectHandler(std::uint64_t number);
 
-    /// Runs \p work now or when earlier requests of the connection have been answered.
-    void enqueue(std::function<void()> work, std::size_t maxConcurrent);
+    /// Runs \p work now or when earlier requests of the connection have been answered; with \p isLast no request behind it is begun.
+    void enqueue(std::function<void()> work, bool isLast, std::size_t maxConcurrent);
 
     bool isReleased = false;
     asio::ip::tcp::socket socket;
 
 private:
+    struct QueuedRequest
+    {
+        std::function<void()> work;
+        /// Whether its caller ends the connection after the response.
+        bool isLast = false;
+    };
+
     void updateTimer();
     void onTimer();
     void sendContinue();
@@ -100,9 +113,15 @@
     bool isPeerGone = false;
     std::string outgoing;
     std::array<char, 4096> discarded{};
-    std::deque<std::function<void()>> queued;
+    std::deque<QueuedRequest> queued;
     std::size_t running = 0;
     std::size_t maxRunning = 1;
+    /// Number of the newest request that was begun.
+    std::uint64_t begun = 0;
+    /// Number of the newest request whose response is ready.
+    std::uint64_t newestReady = 0;
+    /// Whether the connection closes with the response to the newest request that was begun.
+    bool isEnding = false;
 
     std::mutex disconnectMutex;
     bool hasEnded = false;
--- a/packages/http/lib/restinioserver.cpp
+++ b/packages/http/lib/restinioserver.cpp
@@ -5,6 +5,7 @@
 #include "guardedsocket.h"
 #include <rhubarbtiller/http/endpoints.h>
 
+#include <asio/dispatch.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
@@ -126,21 +127,33 @@
 class RestinioResponder : public Responder
 {
 public:
-    RestinioResponder(std::shared_ptr<ServerCore> server, const restinio::request_t &request, const OpenConnection &open);
+    RestinioResponder(std::shared_ptr<ServerCore> server,
+                      const restinio::request_t &request,
+                      const OpenConnection &open,
+                      std::uint64_t requestNumber);
     ~RestinioResponder() override;
 
     void respond(HttpResponse response) override;
     void onDisconnect(std::function<void()> handler) override;
 
 private:
-    std::shared_ptr<ServerCore> core;
-    std::shared_ptr<AcceptedConnection> accepted;
-    /// Keeps RESTinio's connection alive, which nothing else does while it neither reads nor writes.
-    std::shared_ptr<restinio::impl::connection_base_t> connection;
-    const restinio::request_id_t requestId;
-    const bool isHead;
-    const bool isOldVersion;
-    const bool keepsAlive;
+    /// What a response needs after the responder is gone.
+    struct Target
+    {
+        std::shared_ptr<ServerCore> core;
+        std::shared_ptr<AcceptedConnection> accepted;
+        /// Keeps RESTinio's connection alive, which nothing else does while it neither reads nor writes.
+        std::shared_ptr<restinio::impl::connection_base_t> connection;
+        restinio::request_id_t requestId;
+        /// Position of the request on its connection, from 1 on.
+        std::uint64_t number;
+        bool isHead;
+        bool isOldVersion;
+    };
+
+    static void write(const Target &target, HttpResponse response);
+
+    const Target target;
     std::atomic<bool> hasResponded{false};
     std::atomic<std::uint64_t> disconnectHandler{0};
 };
@@ -300,14 +313,17 @@
     return text + "\r\n";
 }
 
-RestinioResponder::RestinioResponder(std::shared_ptr<ServerCore> server, const restinio::request_t &request, const OpenConnection &open)
-    : core(std::move(server))
-    , accepted(open.accepted)
-    , connection(open.restinioConnection.lock())
-    , requestId(request.request_id())
-    , isHead(request.header().method() == restinio::http_method_head())
-    , isOldVersion(request.header().http_minor() == 0)
-    , keepsAlive(request.header().connection() == restinio::http_connection_header_t::keep_alive)
+RestinioResponder::RestinioResponder(std::shared_ptr<ServerCore> server,
+                                     const restinio::request_t &request,
+                                     const OpenConnection &open,
+                                     std::uint64_t requestNumber)
+    : target{std::move(server),
+             open.accepted,
+             open.restinioConnection.lock(),
+             request.request_id(),
+             requestNumber,
+             request.header().method() == restinio::http_method_head(),
+             request.header().http_minor() == 0}
 {
 }
 
@@ -325,14 +341,23 @@
         assert(false && "a request was answered twice");
         return;
     }
-    this->accepted->removeDisconnectHandler(this->disconnectHandler.load());
-    if (!this->connection) {
+    this->target.accepted->removeDisconnectHandler(this->disconnectHandler.load());
+    if (!this->target.connection) {
         return;
     }
-    const bool closes = !this->keepsAlive || this->core->isStopping();
-    std::string header = formatHeader(response, this->isHead, this->isOldVersion, closes);
+    // Whether the response closes the connection depends on the requests behind it.
+    asio::dispatch(this->target.accepted->executor(), [target = this->target, response = std::move(response)]() mutable {
+        write(target, std::move(response));
+    });
+}
+
+/// Precondition: runs on the executor of the connection.
+void RestinioResponder::write(const Target &target, HttpResponse response)
+{
+    const bool closes = target.accepted->onResponseReady(target.number, target.core->isStopping());
+    std::string header = formatHeader(response, target.isHead, target.isOldVersion, closes);
     const std::size_t statusLineSize = header.find("\r\n");
-    const auto unread = this->core->unreadResponses().add(this->accepted, header.size() + response.body.size());
+    const auto unread = target.core->unreadResponses().add(target.accepted, header.size() + response.body.size());
     restinio::writable_items_container_t parts;
     parts.emplace_back(std::move(header));
     if (!response.body.empty()) {
@@ -340,13 +365,13 @@
     }
     restinio::write_group_t group(std::move(parts));
     group.status_line_size(statusLineSize);
-    group.after_write_notificator([answered = this->accepted, unread](const asio::error_code &) {
+    group.after_write_notificator([answered = target.accepted, unread](const asio::error_code &) {
         asio::post(answered->executor(), [answered] {
             answered->onResponseWritten();
         });
     });
-    this->connection->write_response_parts(
-        this->requestId,
+    target.connection->write_response_parts(
+        target.requestId,
         restinio::response_output_flags_t(restinio::response_parts_attr_t::final_parts, restinio::response_connection_attr(!closes)),
         std::move(group));
 }
@@ -356,7 +381,7 @@
     if (this->hasResponded.load()) {
         return;
     }
-    this->disconnectHandler = this->accepted->addDisconnectHandler(std::move(handler));
+    this->disconnectHandler = this->target.accepted->addDisconnectHandler(std::move(handler));
 }
 
 ServerCore::ServerCore(asio::io_context &ioContext,
@@ -565,12 +590,14 @@
         message.headers.push_back({field.name(), field.value()});
     });
     message.body = request->body();
-    open.accepted->onRequestDispatched();
-    auto responder = std::make_shared<RestinioResponder>(this->shared_from_this(), *request, open);
+    const auto number = open.accepted->onRequestDispatched();
+    auto responder = std::make_shared<RestinioResponder>(this->shared_from_this(), *request, open, number);
+    const bool isLast = request->header().connection() != restinio::http_connection_header_t::keep_alive;
     open.accepted->enqueue(
         [self = this->shared_from_this(), held = std::make_shared<HttpRequest>(std::move(message)), responder] {
             self->handler.onRequest(std::move(*held), responder);
         },
+        isLast,
         this->limits.maxPipelinedRequests);
     return restinio::request_accepted();
 }
--- a/packages/http/unittests/httpservertest.cpp
+++ b/packages/http/unittests/httpservertest.cpp
@@ -387,6 +387,76 @@
     CHECK(client.closed());
 }
 
+// A planned stop that closes a connection with the first response drops the pipelined requests behind it, which servers work on.
+TEST_CASE("a planned stop answers each pipelined request that the handler works on")
+{
+    ServerLimits limits;
+    limits.maxPipelinedRequests = 4;
+    ServerFixture fixture(limits);
+    const std::string hold = "GET /hold HTTP/1.1\r\nHost: x\r\n\r\n";
+    RawClient client(fixture.address());
+    client.send(hold + hold + hold);
+    REQUIRE(eventually([&] {
+        return fixture.handler.requests == 3;
+    }));
+    const auto first = fixture.handler.takeHeld();
+    const auto second = fixture.handler.takeHeld();
+    const auto third = fixture.handler.takeHeld();
+    fixture.server->closeAfterResponses();
+    first->respond(HttpResponse{200, {}, "first"});
+    const std::string firstResponse = client.readResponses(1);
+    CHECK(firstResponse.ends_with("first"));
+    CHECK(firstResponse.find("Connection: close") == std::string::npos);
+
+    SUBCASE("the last response closes the connection")
+    {
+        second->respond(HttpResponse{200, {}, "second"});
+        CHECK(client.readResponses(1).ends_with("second"));
+        third->respond(HttpResponse{200, {}, "third"});
+    }
+    SUBCASE("the last response may be ready before earlier ones")
+    {
+        third->respond(HttpResponse{200, {}, "third"});
+        second->respond(HttpResponse{200, {}, "second"});
+        CHECK(client.readResponses(1).ends_with("second"));
+    }
+    SUBCASE("requests that arrive after the first response are not begun")
+    {
+        client.send("GET /late HTTP/1.1\r\nHost: x\r\n\r\n");
+        second->respond(HttpResponse{200, {}, "second"});
+        CHECK(client.readResponses(1).ends_with("second"));
+        third->respond(HttpResponse{200, {}, "third"});
+    }
+    const std::string last = client.readToEnd();
+    CHECK(last.find("Connection: close\r\n") != std::string::npos);
+    CHECK(last.ends_with("third"));
+    CHECK(client.closed());
+    CHECK(fixture.handler.requests == 3);
+}
+
+// The newest response may have been given to the connection without a close before the stop began.
+TEST_CASE("a planned stop closes a connection whose newest response was ready before it began")
+{
+    ServerLimits limits;
+    limits.maxPipelinedRequests = 4;
+    ServerFixture fixture(limits);
+    RawClient client(fixture.address());
+    client.send("GET /hold HTTP/1.1\r\nHost: x\r\n\r\nGET /second HTTP/1.1\r\nHost: x\r\n\r\n");
+    REQUIRE(eventually([&] {
+        return fixture.handler.requests == 2;
+    }));
+    fixture.server->closeAfterResponses();
+    fixture.handler.takeHeld()->respond(HttpResponse{200, {}, "first"});
+    const std::string text = client.readResponses(2);
+    CHECK(text.find("first") < text.find("GET /second"));
+    CHECK(text.ends_with("GET /second "));
+    client.send("GET /third HTTP/1.1\r\nHost: x\r\n\r\n");
+    const std::string last = client.readToEnd();
+    CHECK(last.find("Connection: close\r\n") != std::string::npos);
+    CHECK(last.ends_with("GET /third "));
+    CHECK(client.closed());
+}
+
 // Guards against a stop that leaves connections open.
 TEST_CASE("stop closes every connection")
 {
