Bind the shares of limits to hosts that may be cut off, not to filled roles

Callers saw: organisations that send more than their rate got it from two sets of hosts at once while some hosts were cut off from the others (570 to 638 requests in 5 s, 561 allowed).

Cause: a host takes the part of a rate that corresponds to the number of entry hosts that it hears, and each part of a partitioned fleet elects a full set of them.

Change: DomainReach works out from the heartbeats inside a failure domain which part of its limits a host and those that it hears may use. Entry hosts announce the figure.

--- a/packages/balance/include/rhubarbtiller/balance/hostdirectory.h
+++ b/packages/balance/include/rhubarbtiller/balance/hostdirectory.h
@@ -1,37 +1,13 @@
 #pragma once
 
-#include <rhubarbtiller/base/clock.h>
-#include <rhubarbtiller/base/strongid.h>
-#include <rhubarbtiller/base/strongnumber.h>
+#include <rhubarbtiller/balance/domainreach.h>
+#include <rhubarbtiller/balance/hostrecord.h>
 
 #include <map>
 #include <vector>
 
 namespace rhubarbtiller::balance {
 
-/// The record that a host announces.
-struct HostRecord
-{
-    HostId id;
-    FailureDomainId failureDomain;
-    Endpoint callerAddress;
-    Endpoint peerAddress;
-    Endpoint controlAddress;
-    /// Later runs of a process have larger numbers; of equal hosts those that have run longest come first.
-    Incarnation incarnation;
-    /// Thousandths of a processor core that the host may use; larger hosts come first.
-    std::uint32_t milliCores = 1000;
-    bool isLeaving = false;
-    /// Whether it has taken the role of an entry host of its failure domain.
-    bool isEntry = false;
-    /// Whether it handles requests of organisations, as an entry host or for callers with an outdated address.
-    bool isServing = false;
-    /// Longest time until the host's next heartbeat.
-    Duration heartbeatInterval = std::chrono::milliseconds(250);
-
-    bool operator==(const HostRecord &) const = default;
-};
-
 /// The membership of the fleet as this host receives it, and the entry hosts that callers are directed to.
 ///
 /// In each failure domain the largest hosts, and among equals those that have run longest, are entry hosts; the others are standby. A host
@@ -42,8 +18,13 @@
 public:
     /// With \p membershipKnown false, the host becomes an entry host only after setMembershipKnown() or a short delay.
     ///
-    /// Precondition: \p own names this host; \p entryHostsPerDomain is above 0.
-    HostDirectory(HostRecord own, unsigned entryHostsPerDomain, bool membershipKnown = true);
+    /// \p limitWindow is the time over which limits are counted.
+    ///
+    /// Precondition: \p own names this host; \p entryHostsPerDomain and \p limitWindow are above 0.
+    HostDirectory(HostRecord own,
+                  unsigned entryHostsPerDomain,
+                  bool membershipKnown = true,
+                  Duration limitWindow = std::chrono::seconds(5));
 
     /// Records a host from the list of started hosts, which may be alive. Precondition: \p now does not go back.
     void onListed(const HostRecord &record, MonotonicTime now);
@@ -98,6 +79,19 @@
         return this->rankAtUpdate;
     }
 
+    /// Records the interval of this host's own heartbeats. Precondition: \p interval is above 0.
+    void setOwnInterval(Duration interval);
+
+    /// Returns the part of the limits of this host's failure domain, 0 to 1, that it and the hosts whose heartbeats it receives may use,
+    /// as of the last updateEntryRole(). Precondition: none.
+    double ownDomainReach() const
+    {
+        return this->reachAtUpdate;
+    }
+
+    /// Returns the part of the limits of a failure domain, 0 to 1, that its reachable entry hosts may use. Precondition: none.
+    double domainReach(const FailureDomainId &domain, MonotonicTime now) const;
+
     /// Returns whether callers are sent to this host. Precondition: none.
     bool isEntryHost() const
     {
@@ -143,6 +137,8 @@
     /// When this host may become an entry host at the earliest; the end of time until the first decision.
     MonotonicTime entryRoleAllowedAt = MonotonicTime::max();
     std::size_t rankAtUpdate = 0;
+    double reachAtUpdate = 1;
+    DomainReach reach;
     bool isMembershipKnown;
     const unsigned perDomain;
     std::map<HostId, PeerState> hosts;
--- a/packages/balance/lib/hostdirectory.cpp
+++ b/packages/balance/lib/hostdirectory.cpp
@@ -7,9 +7,6 @@
 
 namespace rhubarbtiller::balance {
 
-/// Heartbeat intervals without a heartbeat after which a host counts as unreachable.
-static constexpr int MissedHeartbeatLimit = 4;
-
 /// Delay for each standby host that ranks before this one, so that it becomes an entry host first: two heartbeats of a host that
 /// has just changed.
 static constexpr Duration EntryRoleDelayPerHost = std::chrono::milliseconds(120);
@@ -37,8 +34,8 @@
     return std::tuple(right.milliCores, left.incarnation, left.id) < std::tuple(left.milliCores, right.incarnation, right.id);
 }
 
-HostDirectory::HostDirectory(HostRecord own, unsigned entryHostsPerDomain, bool membershipKnown)
-    : self(std::move(own)), isMembershipKnown(membershipKnown), perDomain(entryHostsPerDomain)
+HostDirectory::HostDirectory(HostRecord own, unsigned entryHostsPerDomain, bool membershipKnown, Duration limitWindow)
+    : self(std::move(own)), reach(limitWindow, entryHostsPerDomain), isMembershipKnown(membershipKnown), perDomain(entryHostsPerDomain)
 {
     assert(entryHostsPerDomain > 0 && "callers need an entry host in each failure domain");
 }
@@ -56,6 +53,9 @@
     peer.aliveUntil = now + record.heartbeatInterval * MissedHeartbeatLimit;
     peer.expiresAt = now + HostRetention;
     peer.hasHeartbeat = true;
+    if (record.failureDomain == this->self.failureDomain) {
+        this->reach.onHeartbeat(record, now);
+    }
 }
 
 const HostRecord *HostDirectory::findByHeartbeat(const HostId &id, Incarnation incarnation) const
@@ -159,6 +159,26 @@
 {
     this->decideEntryRole(now);
     this->rankAtUpdate = this->ownRank(now);
+    this->reachAtUpdate = this->reach.share(now);
+}
+
+void HostDirectory::setOwnInterval(Duration interval)
+{
+    this->reach.onOwnInterval(interval);
+}
+
+double HostDirectory::domainReach(const FailureDomainId &domain, MonotonicTime now) const
+{
+    const auto entryHosts = this->entryHostsIn(domain, now);
+    const double present = static_cast<double>(entryHosts.size()) / this->perDomain;
+    if (domain == this->self.failureDomain) {
+        return std::min(present, this->reachAtUpdate);
+    }
+    std::uint32_t permille = 0;
+    for (const auto *const host : entryHosts) {
+        permille = std::max(permille, host->reachPermille);
+    }
+    return std::min(present, permille / 1000.0);
 }
 
 void HostDirectory::decideEntryRole(MonotonicTime now)
--- a/packages/gateway/fleet.thrift
+++ b/packages/gateway/fleet.thrift
@@ -22,6 +22,8 @@
     13: bool isEntry
     // Thousandths of a processor core that the host may use.
     14: i32 milliCores
+    // Part of the limits of its failure domain, in thousandths, that it and the hosts whose heartbeats it receives may use.
+    15: i32 reachPermille = 1000
 }
 
 // Fields of a heartbeat that may change; the addresses come from a full heartbeat of the same incarnation.
@@ -35,6 +37,7 @@
     7: i64 configurationVersion
     8: i64 serversVersion
     9: i32 storeContactAgeMs
+    10: i32 reachPermille = 1000
 }
 
 struct ServerEvidence {
--- a/packages/gateway/lib/gatewayprocess.cpp
+++ b/packages/gateway/lib/gatewayprocess.cpp
@@ -234,7 +234,7 @@
     , storeClient(http::makeCurlHttpClient(controlContext, clock))
     , platform(factory(settings, *storeClient, clock))
     , source(*platform.source, metrics)
-    , directory(makeOwnRecord(settings, clock), settings.entryHostsPerDomain, false)
+    , directory(makeOwnRecord(settings, clock), settings.entryHostsPerDomain, false, settings.quotaWindow)
     , quota(settings.quotaWindow)
     , retries(settings.retryBudget)
     , backend(makeBackendClient(servingContext, clock, *platform.dialect, responseLimits(settings.memory)))
--- a/packages/gateway/lib/peerlink.cpp
+++ b/packages/gateway/lib/peerlink.cpp
@@ -4,6 +4,9 @@
 
 #include <rhubarbtiller/telemetry/log.h>
 
+#include <algorithm>
+#include <cmath>
+
 namespace rhubarbtiller::gateway {
 
 using std::chrono::milliseconds;
@@ -52,6 +55,8 @@
 /// Maximum number of hosts that one datagram announces.
 static constexpr std::size_t MaxAnnouncedHosts = 8;
 
+static constexpr std::int32_t MaxPermille = 1000;
+
 balance::HostRecord toHostRecord(const wire::HostBeat &heartbeat)
 {
     balance::HostRecord record;
@@ -66,6 +71,7 @@
     record.isServing = heartbeat.isServing;
     record.isEntry = heartbeat.isEntry;
     record.heartbeatInterval = milliseconds(heartbeat.beatIntervalMs);
+    record.reachPermille = static_cast<std::uint32_t>(std::clamp(heartbeat.reachPermille, 0, MaxPermille));
     return record;
 }
 
@@ -84,6 +90,7 @@
     heartbeat.isEntry = record.isEntry;
     heartbeat.beatIntervalMs = static_cast<std::int32_t>(std::chrono::duration_cast<milliseconds>(record.heartbeatInterval).count());
     heartbeat.storeContactAgeMs = -1;
+    heartbeat.reachPermille = static_cast<std::int32_t>(record.reachPermille);
     return heartbeat;
 }
 
@@ -205,6 +212,7 @@
     heartbeat.configurationVersion = brief.configurationVersion;
     heartbeat.serversVersion = brief.serversVersion;
     heartbeat.storeContactAgeMs = brief.storeContactAgeMs;
+    heartbeat.reachPermille = brief.reachPermille;
     return heartbeat;
 }
 
@@ -261,23 +269,43 @@
     const auto expected = static_cast<double>(directory.entryHostsPerDomain() * this->parts.failureDomains.size());
     const auto alive = directory.liveHosts(directory.own().failureDomain, now).size();
     if (serves) {
-        const auto entryHostCount = static_cast<double>(directory.allEntryHosts(now).size());
         const auto peers = directory.servingPeers(now).size();
         const bool hasNoPeers = peers == 0 && directory.knownHosts(now).size() > 1;
         this->noPeersSince = hasNoPeers ? std::min(this->noPeersSince, now) : MonotonicTime::max();
         // The other hosts replace a host without serving peers, and its callers fail over to them.
         const double shareWithoutPeers
             = hasNoPeers && now - this->noPeersSince >= FailoverTime ? 0.5 / static_cast<double>(directory.knownHosts(now).size()) : 1;
-        this->parts.quota.setRateShare(std::min({1.0, entryHostCount / expected, shareWithoutPeers}), peers + 1);
+        const double share = std::min(this->reachableShare(now), shareWithoutPeers);
+        this->parts.quota.setRateShare(share, peers + 1);
         this->parts.retries.setSlackShare(EntryHostSlackShare / expected);
+        this->logLimitShare(share);
         return;
     }
     // A host without recent requests receives no reports.
-    this->parts.quota.setRateShare(0.5 / expected, 1);
+    this->parts.quota.setRateShare(0.5 / expected * directory.ownDomainReach(), 1);
     this->parts.retries.setSlackShare((1 - EntryHostSlackShare)
                                       / static_cast<double>(std::max<std::size_t>(1, alive) * this->parts.failureDomains.size()));
 }
 
+/// Returns the part of all limits that the hosts whose admissions this one receives may use; each failure domain has an equal part.
+double PeerLink::reachableShare(MonotonicTime now) const
+{
+    double sum = 0;
+    for (const auto &domain : this->parts.failureDomains) {
+        sum += this->parts.directory.domainReach(domain, now);
+    }
+    return sum / static_cast<double>(this->parts.failureDomains.size());
+}
+
+void PeerLink::logLimitShare(double share)
+{
+    const auto permille = static_cast<std::int32_t>(std::lround(share * MaxPermille));
+    if (std::exchange(this->loggedSharePermille, permille) != permille) {
+        telemetry::logEvent(
+            telemetry::LogLevel::Info, "limit_share_changed", {{"share", share}, {"domain_reach", this->parts.directory.ownDomainReach()}});
+    }
+}
+
 /// Logs changes of the set of entry hosts on serving hosts; other hosts receive heartbeats only of their own domain.
 void PeerLink::logEntryHosts(MonotonicTime now)
 {
@@ -310,6 +338,7 @@
         interval = std::max(MinStandbyHeartbeatInterval, milliseconds(1000 * count / StandbyHeartbeatsPerSecond));
     }
     heartbeat.beatIntervalMs = static_cast<std::int32_t>(interval.count());
+    heartbeat.reachPermille = static_cast<std::int32_t>(std::lround(this->parts.directory.ownDomainReach() * MaxPermille));
     return heartbeat;
 }
 
@@ -326,6 +355,7 @@
     brief.configurationVersion = heartbeat.configurationVersion;
     brief.serversVersion = heartbeat.serversVersion;
     brief.storeContactAgeMs = heartbeat.storeContactAgeMs;
+    brief.reachPermille = heartbeat.reachPermille;
     return brief;
 }
 
@@ -335,6 +365,7 @@
     datagram.__set_sender(this->ownHeartbeat());
     const milliseconds interval(datagram.sender.beatIntervalMs);
     this->nextHeartbeatAt = now + interval;
+    this->parts.directory.setOwnInterval(interval);
     const auto &own = this->parts.directory.own();
     if (this->isEntryHost && now >= this->nextAnnouncementAt) {
         this->nextAnnouncementAt = now + AnnouncementInterval;
--- a/packages/gateway/lib/peerlink.h
+++ b/packages/gateway/lib/peerlink.h
@@ -79,6 +79,8 @@
     void discoverHosts(MonotonicTime now);
     void updateRole(MonotonicTime now);
     void logEntryHosts(MonotonicTime now);
+    double reachableShare(MonotonicTime now) const;
+    void logLimitShare(double share);
     void send(const wire::Datagram &datagram, const Endpoint &target);
     void addAnnouncements(wire::Datagram &datagram, MonotonicTime now) const;
     void sendAnnouncements(const Endpoint &target, MonotonicTime now);
@@ -95,6 +97,7 @@
     unsigned heartbeatsSinceReset = 0;
     bool isEntryHost = false;
     std::string loggedEntryHosts;
+    std::int32_t loggedSharePermille = -1;
     bool isServing = false;
     bool isSendFailing = false;
     /// Whether a report had evidence of a kind that this version does not know; logged once.
