Divide the retry slack and the rate of cold servers by reach as well

While hosts are cut off, services can get up to 1.9 times the retries beyond their requests (BUDGET), and cold servers twice their rate (FAILBACK).

Cause: both are divided by the number of entry hosts, of which each part of a partitioned fleet has a full set. A standby host that serves callers with an outdated address also took the portion of an entry host of the retry slack.

Change: both are multiplied by the reach of the host's own failure domain; only entry hosts take the portion of one.

Evidence: gateway_tests -tc="the parts*slack*": 3183, 2629, 3819 and 3137 retries of 2000 before, within the bound in all four cases now. balance_tests -tc="a part of a partitioned*": 10 requests in 10 s with a reach of 0 and of 0.5 before, 0 and 4 to 6 now. gateway_tests 112, balance_tests 104 passed.

--- a/packages/balance/include/rhubarbtiller/balance/placement.h
+++ b/packages/balance/include/rhubarbtiller/balance/placement.h
@@ -21,6 +21,8 @@
     std::vector<BackendServerId> excluded;
     /// Entry hosts of this failure domain that share the cold rate of a server.
     unsigned entryHostsInDomain = 1;
+    /// Part of the limits of this failure domain, 0 to 1, that its reachable hosts may use.
+    double domainReach = 1;
     /// Whether callers are sent to this host; other hosts send no requests to cold servers.
     bool isEntryHost = true;
     /// Whether the request may be a trial: sent to a server that received no request for a while.
--- a/packages/balance/lib/placement.cpp
+++ b/packages/balance/lib/placement.cpp
@@ -62,11 +62,15 @@
     if (service == nullptr || service->coldRate.count() <= 0) {
         return true;
     }
-    const RequestRate ownRate(service->coldRate.count() / std::max(1U, query.entryHostsInDomain));
+    const RequestRate ownRate(service->coldRate.count() * query.domainReach / std::max(1U, query.entryHostsInDomain));
+    if (ownRate.count() <= 0) {
+        return false;
+    }
     if (!state.hasColdBucket) {
         state.coldBucket = TokenBucket(ownRate, RequestCount(1), RequestCount(1), now);
         state.hasColdBucket = true;
     }
+    state.coldBucket.reconfigure(ownRate, RequestCount(1));
     if (!state.coldBucket.tryConsume(now)) {
         return false;
     }
--- a/packages/balance/unittests/placementtest.cpp
+++ b/packages/balance/unittests/placementtest.cpp
@@ -187,6 +187,29 @@
     CHECK(sent >= 9);
 }
 
+// Each part of a partitioned failure domain has a full set of entry hosts, which together overload a cold server.
+TEST_CASE("a part of a partitioned domain sends its part of the rate to a cold server")
+{
+    PlacementFixture fixture(1);
+    fixture.entries[0].coldUntil = fixture.clock.now() + 1h;
+    fixture.update();
+    fixture.query.entryHostsInDomain = 2;
+    const auto sendForTenSeconds = [&fixture] {
+        int sent = 0;
+        for (int i = 0; i < 1000; ++i) {
+            sent += fixture.choose().server != nullptr ? 1 : 0;
+            fixture.clock.advance(10ms);
+        }
+        return sent;
+    };
+    fixture.query.domainReach = 0;
+    CHECK(sendForTenSeconds() == 0);
+    fixture.query.domainReach = 0.5;
+    const int sent = sendForTenSeconds();
+    CHECK(sent <= 6);
+    CHECK(sent >= 4);
+}
+
 TEST_CASE("only entry hosts of its own domain send to a cold server")
 {
     PlacementFixture fixture(1);
--- a/packages/gateway/lib/peerlink.cpp
+++ b/packages/gateway/lib/peerlink.cpp
@@ -268,23 +268,25 @@
     this->parts.sync.setRank(directory.ownRank(now));
     const auto expected = static_cast<double>(directory.entryHostsPerDomain() * this->parts.failureDomains.size());
     const auto alive = directory.liveHosts(directory.own().failureDomain, now).size();
-    if (serves) {
-        const auto peers = directory.servingPeers(now).size();
-        const bool hasNoPeers = peers == 0 && directory.knownHosts(now).size() > 1;
-        this->noPeersSince = hasNoPeers ? std::min(this->noPeersSince, now) : MonotonicTime::max();
-        // The other hosts replace a host without serving peers, and its callers fail over to them.
-        const double shareWithoutPeers
-            = hasNoPeers && now - this->noPeersSince >= FailoverTime ? 0.5 / static_cast<double>(directory.knownHosts(now).size()) : 1;
-        const double share = std::min(this->reachableShare(now), shareWithoutPeers);
-        this->parts.quota.setRateShare(share, peers + 1);
-        this->parts.retries.setSlackShare(EntryHostSlackShare / expected);
-        this->logLimitShare(share);
+    const double ownReach = directory.ownDomainReach();
+    const double slackShare = isEntry
+        ? EntryHostSlackShare / expected
+        : (1 - EntryHostSlackShare) / static_cast<double>(std::max<std::size_t>(1, alive) * this->parts.failureDomains.size());
+    this->parts.retries.setSlackShare(slackShare * ownReach);
+    if (!serves) {
+        // A host without recent requests receives no reports.
+        this->parts.quota.setRateShare(0.5 / expected * ownReach, 1);
         return;
     }
-    // A host without recent requests receives no reports.
-    this->parts.quota.setRateShare(0.5 / expected * directory.ownDomainReach(), 1);
-    this->parts.retries.setSlackShare((1 - EntryHostSlackShare)
-                                      / static_cast<double>(std::max<std::size_t>(1, alive) * this->parts.failureDomains.size()));
+    const auto peers = directory.servingPeers(now).size();
+    const bool hasNoPeers = peers == 0 && directory.knownHosts(now).size() > 1;
+    this->noPeersSince = hasNoPeers ? std::min(this->noPeersSince, now) : MonotonicTime::max();
+    // The other hosts replace a host without serving peers, and its callers fail over to them.
+    const double shareWithoutPeers
+        = hasNoPeers && now - this->noPeersSince >= FailoverTime ? 0.5 / static_cast<double>(directory.knownHosts(now).size()) : 1;
+    const double share = std::min(this->reachableShare(now), shareWithoutPeers);
+    this->parts.quota.setRateShare(share, peers + 1);
+    this->logLimitShare(share);
 }
 
 /// Returns the part of all limits that the hosts whose admissions this one receives may use; each failure domain has an equal part.
--- a/packages/gateway/lib/requestflow.cpp
+++ b/packages/gateway/lib/requestflow.cpp
@@ -296,6 +296,7 @@
     query.isRetryable = this->isIdempotent() && this->route->maxAttempts > this->possibleRuns + 1;
     query.excluded = this->triedServers;
     query.entryHostsInDomain = this->flow.directory.entryHostsPerDomain();
+    query.domainReach = this->flow.directory.ownDomainReach();
     query.isEntryHost = this->flow.directory.isEntryHost();
     query.rankInDomain = this->flow.directory.lastRank();
     query.trialPolicy = this->flow.outcomes.trialPolicy(this->service, this->flow.board.isFailing(this->service, now), now);
--- a/packages/gateway/unittests/partitionedlimitstest.cpp
+++ b/packages/gateway/unittests/partitionedlimitstest.cpp
@@ -27,6 +27,9 @@
 /// The platform tolerates a tenth and 20 requests beyond the limit.
 constexpr double Tolerated = Limit * 1.1 + 20;
 
+/// Large enough that the fractions of a retry that each host leaves unused don't matter.
+constexpr balance::RetryBudgetBounds RetryBounds{.ratio = 0.2, .slack = 2000, .window = 10s};
+
 constexpr unsigned Domains = 3;
 constexpr Duration UpdateInterval = 50ms;
 constexpr Duration Latency = 1ms;
@@ -77,7 +80,7 @@
     balance::HostDirectory directory;
     balance::Scoreboard board;
     balance::OrganisationQuota quota{Window};
-    balance::RetryBudget retries{balance::RetryBudgetBounds()};
+    balance::RetryBudget retries{RetryBounds};
     StateSync sync;
     PeerLink link;
     MonotonicTime lastAdmittedAt{};
@@ -209,6 +212,18 @@
         return static_cast<std::size_t>(this->admissions.end() - from);
     }
 
+    /// Returns how many retries all hosts together have left for a service without requests.
+    std::size_t retriesLeft()
+    {
+        std::size_t count = 0;
+        for (const auto &host : this->hosts) {
+            while (host->retries.tryRetry(catalog::ServiceName("seats"), 0, this->clock.now())) {
+                ++count;
+            }
+        }
+        return count;
+    }
+
     testing::VirtualClock clock;
     testing::VirtualScheduler scheduler{this->clock};
     std::vector<std::unique_ptr<LimitingHost>> hosts;
@@ -357,3 +372,16 @@
     CHECK(static_cast<double>(fleet.admittedInLast(5s)) >= RatePerSecond * 5 * 0.9);
     CHECK(static_cast<double>(fleet.mostInWindow()) <= Tolerated);
 }
+
+// Each part of a partitioned fleet divided the whole slack of the retry budget among its own hosts.
+TEST_CASE("the parts of a partitioned fleet together keep the slack of the retry budget")
+{
+    for (const double share : {0.17, 0.5}) {
+        for (const Duration length : {3s, 20s}) {
+            PartitionedFleet fleet(1, 10, 150);
+            fleet.cut(fleet.someHosts(share));
+            fleet.run(length);
+            CHECK_MESSAGE(static_cast<double>(fleet.retriesLeft()) <= RetryBounds.slack, share, " cut off");
+        }
+    }
+}
