Use limits again soon after a partition has healed

For seconds after hosts hear each other again, organisations are refused although they stay within their rate: 319 requests of 490 in the second window after a cut of 20 s.

Cause: reports hold sums since the start. The first report of a host that returns contains all that it admitted while it was out of reach, and counts as admitted at once.

Change: the first report of a returned host counts only from its predecessor on. Instead, the share of the limits does not grow for a window after hosts return, so that the hosts leave out the part that the others had.

--- a/packages/balance/include/rhubarbtiller/balance/organisationquota.h
+++ b/packages/balance/include/rhubarbtiller/balance/organisationquota.h
@@ -105,6 +105,12 @@
     /// Counts what another host admitted since its last report. Precondition: \p now does not go back.
     void onReport(const HostId &host, Incarnation incarnation, const std::vector<AdmissionCount> &counts, MonotonicTime now);
 
+    /// Notes that the reports of a lost host arrive again; its next ones count only from their predecessors on.
+    ///
+    /// Instead of what the host admitted meanwhile, this host leaves out its part of the limits for one window: the share does not grow.
+    /// Precondition: \p now does not go back.
+    void onHostReturned(const HostId &host, MonotonicTime now);
+
     /// Returns what a host that begins to serve queries: the use of each organisation with a rate in the last window.
     ///
     /// Unset before the first catalog. Precondition: \p now does not go back.
@@ -157,6 +163,7 @@
     Slice &currentSlice(Account &account, MonotonicTime now) const;
     double assumedInWindow(const Account &account, MonotonicTime now) const;
     double admittedInWindow(const Account &account, MonotonicTime now) const;
+    double shareAt(MonotonicTime now) const;
 
     Duration window;
     std::unordered_map<OrganisationId, Account> accounts;
@@ -168,6 +175,9 @@
     /// Until then a change of role discards no counts.
     MonotonicTime startPhaseEnd{};
     MonotonicTime startedAt = MonotonicTime::max();
+    /// Until then the share is not above heldShare.
+    MonotonicTime shareHeldUntil{};
+    double heldShare = 1;
     /// Until then other hosts are queried for their window uses.
     MonotonicTime queriesUntil{};
 };
--- a/packages/balance/lib/hostdirectory.cpp
+++ b/packages/balance/lib/hostdirectory.cpp
@@ -65,6 +65,13 @@
     return isMatch ? &found->second.record : nullptr;
 }
 
+bool HostDirectory::isLost(const HostId &id, Incarnation incarnation, MonotonicTime now) const
+{
+    const auto found = this->hosts.find(id);
+    const bool isSameProcess = found != this->hosts.end() && found->second.record.incarnation == incarnation;
+    return isSameProcess && found->second.aliveUntil > MonotonicTime() && now >= found->second.aliveUntil;
+}
+
 bool HostDirectory::onIndirectAnnouncement(const HostRecord &record, MonotonicTime now)
 {
     if (record.id == this->self.id) {
--- a/packages/balance/lib/organisationquota.cpp
+++ b/packages/balance/lib/organisationquota.cpp
@@ -113,7 +113,7 @@
 {
     const std::int64_t number = this->sliceNumber(now);
     // The other parts of the fleet account for the rest.
-    double sum = this->assumedInWindow(account, now) * this->rateShare;
+    double sum = this->assumedInWindow(account, now) * this->shareAt(now);
     for (const auto &slice : account.slices) {
         sum += slice.number > number - static_cast<std::int64_t>(SliceCount) ? slice.admitted : 0;
     }
@@ -125,7 +125,7 @@
     auto &account = this->accounts[organisation];
     QuotaDecision decision;
     if (account.limit > 0) {
-        decision.limit = account.limit * this->rateShare;
+        decision.limit = account.limit * this->shareAt(now);
         decision.used = this->admittedInWindow(account, now);
         const double left = decision.limit - decision.used;
         this->isUrgent = this->isUrgent || left < decision.limit * UrgentFraction;
@@ -166,7 +166,7 @@
     for (const auto &[id, account] : this->accounts) {
         const double used = account.limit > 0 ? this->admittedInWindow(account, now) : 0;
         if (used > 0) {
-            usages.push_back({id, used, account.limit * this->rateShare});
+            usages.push_back({id, used, account.limit * this->shareAt(now)});
         }
     }
     return usages;
@@ -196,6 +196,21 @@
     }
 }
 
+void OrganisationQuota::onHostReturned(const HostId &host, MonotonicTime now)
+{
+    this->remotes.erase(host);
+    // Hosts that return one after the other belong to one partition.
+    if (now >= this->shareHeldUntil) {
+        this->heldShare = this->rateShare;
+        this->shareHeldUntil = now + this->window;
+    }
+}
+
+double OrganisationQuota::shareAt(MonotonicTime now) const
+{
+    return now < this->shareHeldUntil ? std::min(this->rateShare, this->heldShare) : this->rateShare;
+}
+
 std::optional<std::vector<WindowUse>> OrganisationQuota::windowUses(MonotonicTime now) const
 {
     if (!this->hasCatalog) {
--- a/packages/gateway/lib/peerlink.cpp
+++ b/packages/gateway/lib/peerlink.cpp
@@ -125,6 +125,12 @@
         return;
     }
     const auto now = this->parts.clock.now();
+    const bool isBrief = !datagram->__isset.sender;
+    const HostId sender(isBrief ? datagram->brief.host : datagram->sender.host);
+    const auto incarnation = static_cast<std::uint64_t>(isBrief ? datagram->brief.incarnation : datagram->sender.incarnation);
+    if (this->parts.directory.isLost(sender, Incarnation(incarnation), now)) {
+        this->parts.quota.onHostReturned(sender, now);
+    }
     this->reports.onAdmissions(*datagram, now);
     const auto received = this->senderHeartbeat(*datagram);
     if (!received) {
--- a/packages/gateway/unittests/partitionedlimitstest.cpp
+++ b/packages/gateway/unittests/partitionedlimitstest.cpp
@@ -361,6 +361,20 @@
     }
 }
 
+// Hosts that hear each other again counted all that the others had admitted during the cut as admitted at once.
+TEST_CASE("the limit of an organisation is used again after a partition")
+{
+    for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+        PartitionedFleet fleet(seed, 10, 300);
+        fleet.cut(fleet.someHosts(seed % 2 == 0 ? 0.5 : 0.17));
+        fleet.run(20s);
+        fleet.heal();
+        fleet.run(HealedTime);
+        CHECK_MESSAGE(static_cast<double>(fleet.admittedInLast(Window)) >= RatePerSecond * 5 * 0.9, "seed ", seed);
+        CHECK_MESSAGE(static_cast<double>(fleet.mostInWindow()) <= Tolerated, "seed ", seed);
+    }
+}
+
 // A host that ends for good must not keep its part of the limits from the others for long.
 TEST_CASE("the limit of an organisation is used again after entry hosts have ended for good")
 {
