Read responses that arrive together as one text in the test of planned stops

The test of pipelined requests at a planned stop failed once in 3 runs beside a build: its client reads what has arrived and takes the last bytes for the end of one response, while two were given to the connection back to back.

The simulation of partitioned limits plays further seeds with RHUBARBTILLER_SEEDS.

--- a/packages/gateway/unittests/partitionedlimitstest.cpp
+++ b/packages/gateway/unittests/partitionedlimitstest.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cstdlib>
 #include <deque>
 #include <set>
 
@@ -341,13 +342,20 @@
 
 } // namespace
 
+/// Returns by how many plays RHUBARBTILLER_SEEDS exceeds those of every test run.
+static std::uint64_t additionalSeeds()
+{
+    const char *const additional = std::getenv("RHUBARBTILLER_SEEDS");
+    return additional == nullptr ? 0 : std::strtoull(additional, nullptr, 10);
+}
+
 // Hosts that are cut off from the others elect a full set of entry hosts; each part of the fleet admitted the whole limit.
 TEST_CASE("the parts of a partitioned fleet together keep the limit of an organisation")
 {
     static constexpr std::array Shares{0.1, 0.17, 0.3, 0.5};
     static constexpr std::array Lengths{3000ms, 5500ms, 9000ms, 20000ms};
     static constexpr std::array Demands{150.0, 300.0};
-    for (std::uint64_t seed = 1; seed <= 16; ++seed) {
+    for (std::uint64_t seed = 1; seed <= 16 + additionalSeeds(); ++seed) {
         const auto share = Shares[seed % Shares.size()];
         const auto length = Lengths[seed / Shares.size() % Lengths.size()];
         const auto demand = Demands[seed % Demands.size()];
--- a/packages/http/unittests/httpservertest.cpp
+++ b/packages/http/unittests/httpservertest.cpp
@@ -407,6 +407,7 @@
     const std::string firstResponse = client.readResponses(1);
     CHECK(firstResponse.ends_with("first"));
     CHECK(firstResponse.find("Connection: close") == std::string::npos);
+    bool hasReadSecond = true;
 
     SUBCASE("the last response closes the connection")
     {
@@ -418,7 +419,7 @@
     {
         third->respond(HttpResponse{200, {}, "third"});
         second->respond(HttpResponse{200, {}, "second"});
-        CHECK(client.readResponses(1).ends_with("second"));
+        hasReadSecond = false;
     }
     SUBCASE("requests that arrive after the first response are not begun")
     {
@@ -430,6 +431,7 @@
     const std::string last = client.readToEnd();
     CHECK(last.find("Connection: close\r\n") != std::string::npos);
     CHECK(last.ends_with("third"));
+    CHECK((last.find("second") != std::string::npos) == !hasReadSecond);
     CHECK(client.closed());
     CHECK(fixture.handler.requests == 3);
 }
