Withhold the portion of an entry host after two missed heartbeats

Cause: for the second until an entry host counts as unreachable, both parts of a fleet use the whole limits.

Change: an entry host that has missed two heartbeats keeps its portion, in its own domain and for the hosts of other domains, while it still counts as alive and keeps its role. The next heartbeat gives the portion back at once.

Evidence: balance_tests -tc="the portion of an entry host is withheld after two*" fails without the change (share 1 in place of 0.5).

--- a/packages/balance/include/rhubarbtiller/balance/domainreach.h
+++ b/packages/balance/include/rhubarbtiller/balance/domainreach.h
@@ -37,6 +37,8 @@
         Incarnation incarnation;
         /// End of its last heartbeat's validity.
         MonotonicTime aliveUntil{};
+        /// An entry host may be out of reach from then on.
+        MonotonicTime freshUntil{};
         /// From then on a lost entry host counts like a standby host.
         MonotonicTime settledAt{};
         /// Until then the window may contain admissions that it did not report.
--- a/packages/balance/include/rhubarbtiller/balance/hostdirectory.h
+++ b/packages/balance/include/rhubarbtiller/balance/hostdirectory.h
@@ -122,6 +122,8 @@
         HostRecord record;
         /// Unset until the host's first own heartbeat.
         MonotonicTime aliveUntil{};
+        /// From then on the host may be out of reach.
+        MonotonicTime freshUntil{};
         /// Until then the last indirect announcement is valid.
         MonotonicTime indirectUntil{};
         /// Until then the first heartbeat of a listed host may still arrive.
--- a/packages/balance/include/rhubarbtiller/balance/hostrecord.h
+++ b/packages/balance/include/rhubarbtiller/balance/hostrecord.h
@@ -34,4 +34,12 @@
 /// Heartbeat intervals without a heartbeat after which a host counts as unreachable.
 inline constexpr int MissedHeartbeatLimit = 4;
 
+/// Returns until when the heartbeat of an entry host that arrived at \p heardAt is fresh: two intervals and a quarter.
+///
+/// From then on its portion of the limits is left to it, well before it counts as unreachable and is replaced. Precondition: none.
+inline MonotonicTime freshUntil(const HostRecord &record, MonotonicTime heardAt)
+{
+    return heardAt + record.heartbeatInterval * 9 / 4;
+}
+
 } // namespace rhubarbtiller::balance
--- a/packages/balance/lib/domainreach.cpp
+++ b/packages/balance/lib/domainreach.cpp
@@ -32,6 +32,7 @@
     this->longestInterval = std::max(this->longestInterval, record.heartbeatInterval);
     peer.isLeaving = record.isLeaving;
     peer.aliveUntil = now + record.heartbeatInterval * MissedHeartbeatLimit;
+    peer.freshUntil = freshUntil(record, now);
     // The hosts on the other side use less from the loss of the last standby host on; their window ends a window later.
     peer.settledAt = peer.aliveUntil + this->longestInterval * MissedHeartbeatLimit + this->window;
     if (isNew) {
@@ -60,6 +61,7 @@
         const bool isAlive = now < peer.aliveUntil;
         if (isAlive && now >= peer.unreportedUntil) {
             reachable += 1;
+            withheldRoles += peer.isEntry && now >= peer.freshUntil ? 1 : 0;
             continue;
         }
         withheldRoles += peer.isEntry && (isAlive || now < peer.settledAt) ? 1 : 0;
--- a/packages/balance/lib/hostdirectory.cpp
+++ b/packages/balance/lib/hostdirectory.cpp
@@ -51,6 +51,7 @@
     }
     peer.record = record;
     peer.aliveUntil = now + record.heartbeatInterval * MissedHeartbeatLimit;
+    peer.freshUntil = balance::freshUntil(record, now);
     peer.expiresAt = now + HostRetention;
     peer.hasHeartbeat = true;
     if (record.failureDomain == this->self.failureDomain) {
@@ -181,7 +182,10 @@
 
 double HostDirectory::domainReach(const FailureDomainId &domain, MonotonicTime now) const
 {
-    const auto entryHosts = this->entryHostsIn(domain, now);
+    auto entryHosts = this->entryHostsIn(domain, now);
+    std::erase_if(entryHosts, [this, now](const HostRecord *host) {
+        return host != &this->self && now >= this->hosts.at(host->id).freshUntil;
+    });
     const double present = static_cast<double>(entryHosts.size()) / this->perDomain;
     if (domain == this->self.failureDomain) {
         return std::min(present, this->reachAtUpdate);
--- a/packages/balance/unittests/domainreachtest.cpp
+++ b/packages/balance/unittests/domainreachtest.cpp
@@ -86,6 +86,21 @@
     CHECK(domain.share() == 0.5);
 }
 
+// Until it counts as unreachable, both parts of a fleet would go on to use the whole limits for a second.
+TEST_CASE("the portion of an entry host is withheld after two missed heartbeats, and given back with the next one")
+{
+    Domain domain;
+    domain.silence(0, 1);
+    // The last heartbeat was 250 ms before.
+    domain.run(250ms);
+    CHECK(domain.share() == 1);
+    domain.run(250ms);
+    CHECK(domain.share() == 0.5);
+    domain.silence(0, 1, false);
+    domain.run(250ms);
+    CHECK(domain.share() == 1);
+}
+
 TEST_CASE("a part of a domain without its entry hosts gets a portion by its size after the others have counted it as lost")
 {
     Domain domain;
