--- a/packages/testing/include/rhubarbtiller/testing/rowstorestandin.h
+++ b/packages/testing/include/rhubarbtiller/testing/rowstorestandin.h
@@ -38,9 +38,23 @@
     /// Removes a row; returns the version of the removal. Precondition: none.
     std::uint64_t remove(const std::string &table, const std::string &key);
 
+    /// Writes a row again with what it has, as a heartbeat does: only the version of the store rises. Precondition: none.
+    void touch();
+
     /// Drops the history, so that a feed from any earlier version answers that it is gone. Precondition: none.
     void dropHistory();
 
+    /// The rows at one moment.
+    struct Copy;
+
+    /// Returns a copy of all rows. Precondition: none.
+    std::shared_ptr<const Copy> copy() const;
+
+    /// Comes back with the rows of an earlier copy: versions go back and are given out again, the era rises, and open feeds are cut.
+    ///
+    /// Precondition: \p earlier is from this store.
+    void returnFrom(const Copy &earlier);
+
     /// The status of refused calls while \c faults has an outage of that kind.
     int refusalStatus = 503;
 
@@ -78,6 +92,7 @@
 
     struct Watcher;
 
+    void respond(const Connection &connection, http::HttpResponse response) const;
     void onRequest(const http::HttpRequest &request, const Connection &connection);
     void perform(const http::HttpRequest &request, const Connection &connection);
     http::HttpResponse transact(const std::string &body);
@@ -94,6 +109,7 @@
     std::list<Change> history;
     std::list<std::shared_ptr<Watcher>> watchers;
     std::uint64_t version = 0;
+    std::uint64_t era = 1;
     /// Changes up to this version are no longer in the history.
     std::uint64_t forgottenVersion = 0;
     std::uint64_t callCount = 0;
