Log the first response of the store that is older than the replica

A reader that ignores what the store returns had no log line of its own, so that a store whose versions went back could not be distinguished from one whose history was dropped.

--- a/packages/gateway/lib/statesync.cpp
+++ b/packages/gateway/lib/statesync.cpp
@@ -258,6 +258,16 @@
         this->onStoreFailure(state, batch.error(), now);
         return;
     }
+    const bool isOlder = batch->version < state.replica.position();
+    if (isOlder && !state.isStoreBehind) {
+        logEvent(LogLevel::Warning,
+                 "store_version_went_back",
+                 {{"table", tableName(state.table)},
+                  {"is_whole_table", isWhole},
+                  {"store_version", batch->version},
+                  {"position", state.replica.position()}});
+    }
+    state.isStoreBehind = isOlder;
     this->onStoreResponse(state, now);
     state.consecutiveFailures = 0;
     const bool hasChanged = isWhole ? state.replica.replace(*batch, now) : state.replica.apply(*batch, now);
--- a/packages/gateway/lib/statesync.h
+++ b/packages/gateway/lib/statesync.h
@@ -106,6 +106,8 @@
         TableReplica replica;
         bool hasPendingRead = false;
         bool needsFullRead = true;
+        /// Whether the version of the last response was older than the replica.
+        bool isStoreBehind = false;
         MonotonicTime nextReadAt{};
         unsigned consecutiveFailures = 0;
         /// When the store last answered a call for this table.
