--- a/packages/gateway/fleet.thrift
+++ b/packages/gateway/fleet.thrift
@@ -26,6 +26,9 @@
     15: i32 reachPermille = 1000
     // Hosts of its failure domain among which it divides the limits, lost ones included; 0 if unknown.
     16: i32 domainHosts
+    // Eras of the store in which its versions count.
+    17: i64 configurationEra
+    18: i64 serversEra
 }
 
 // Fields of a heartbeat that may change; the addresses come from a full heartbeat of the same incarnation.
@@ -41,6 +44,8 @@
     9: i32 storeContactAgeMs
     10: i32 reachPermille = 1000
     11: i32 domainHosts
+    12: i64 configurationEra
+    13: i64 serversEra
 }
 
 struct ServerEvidence {
@@ -127,6 +132,7 @@
     3: i64 version
     // Age of the row at the sender, so that times relative to its arrival stay correct.
     4: i64 ageMs
+    5: i64 era
 }
 
 // Response to a peer whose replica is behind.
@@ -138,4 +144,5 @@
     3: optional list<string> keys
     // Keys that were removed since the peer's version; the rows are newer.
     4: optional list<string> removed
+    5: i64 era
 }
--- a/packages/gateway/include/rhubarbtiller/gateway/statesource.h
+++ b/packages/gateway/include/rhubarbtiller/gateway/statesource.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <rhubarbtiller/base/result.h>
+#include <rhubarbtiller/base/strongnumber.h>
 #include <rhubarbtiller/catalog/servertable.h>
 
+#include <compare>
 #include <functional>
 #include <map>
 #include <string>
@@ -40,11 +42,23 @@
     Status,
 };
 
+/// Counts how often the store has returned from an older copy of its rows; 0 for a store that does not say.
+using StoreEra = StrongNumber<struct StoreEraTag, std::uint64_t>;
+
+/// A position in the changes of the store. The store gives out numbers again in a later era.
+struct StoreVersion
+{
+    StoreEra era;
+    std::uint64_t number = 0;
+
+    auto operator<=>(const StoreVersion &) const = default;
+};
+
 struct SourceRow
 {
     std::string key;
     std::string value;
-    /// The store's version of the change that wrote the row.
+    /// The number of the change that wrote the row, in the era of the batch.
     std::uint64_t version = 0;
     bool isRemoved = false;
 };
@@ -52,8 +66,14 @@
 struct SourceBatch
 {
     std::vector<SourceRow> rows;
-    /// The newest version of the store at the time of the response.
+    /// The number of the store's newest change at the time of the response.
     std::uint64_t version = 0;
+    StoreEra era{};
+
+    StoreVersion storeVersion() const
+    {
+        return {this->era, this->version};
+    }
 };
 
 /// Reads and writes the tables of the platform's store.
@@ -73,7 +93,9 @@
     /// Reads a whole table. Precondition: none.
     virtual void read(SourceTable table, BatchHandler handler) = 0;
 
-    /// Waits for changes after version \p after, for at most \p wait. Precondition: none.
+    /// Waits for changes after number \p after, for at most \p wait. Precondition: none.
+    ///
+    /// The changes belong to the era of the batch, which may be later than the one of \p after.
     virtual void watch(SourceTable table, std::uint64_t after, std::chrono::milliseconds wait, BatchHandler handler) = 0;
 
     /// Writes one row unconditionally. Precondition: the system may write to the table.
@@ -89,7 +111,7 @@
 struct ReplicatedRow
 {
     std::string value;
-    std::uint64_t version = 0;
+    StoreVersion version;
     MonotonicTime receivedAt{};
 };
 
@@ -121,6 +143,10 @@
 
     /// Returns the entry of one backend server, or nothing if the row describes none. Precondition: none.
     virtual std::optional<catalog::ServerEntry> server(const std::string &key, const ReplicatedRow &row) const = 0;
+
+    /// Compares when the writer of a row wrote two values of it; unordered if the values do not say. Precondition: none.
+    virtual std::partial_ordering
+    compareValues(SourceTable table, const std::string &key, const std::string &left, const std::string &right) const = 0;
 };
 
 } // namespace rhubarbtiller::gateway
--- a/packages/gateway/lib/gatewayprocess.cpp
+++ b/packages/gateway/lib/gatewayprocess.cpp
@@ -307,7 +307,7 @@
            },
            [this] {
                const auto status = this->stateSync.replicaStatus();
-               return std::pair(status.configurationVersion, status.announcedConfigurationVersion);
+               return std::pair(status.configurationVersion.number, status.announcedConfigurationVersion.number);
            }}
     , useMonitor(settings.failureDomain, metrics)
     , stateSync({controlContext,
@@ -608,23 +608,30 @@
 http::HttpResponse GatewayProcess::Parts::handleControlRequest(const http::HttpRequest &request)
 {
     static constexpr std::string_view ReplicaPath = "/replica/";
+    static constexpr std::string_view AfterField = "?after=";
+    static constexpr std::string_view EraField = "&era=";
     const std::string_view target = request.target;
     if (target == "/metrics") {
         return {200, {{"Content-Type", "text/plain; version=0.0.4"}}, this->metrics.exposition()};
     }
-    const auto queryStart = target.find("?after=");
+    const auto queryStart = target.find(AfterField);
     if (!target.starts_with(ReplicaPath) || queryStart == std::string_view::npos) {
         return emptyResponse(404);
     }
     const auto table = target.substr(ReplicaPath.size(), queryStart - ReplicaPath.size());
-    const auto version = target.substr(queryStart + std::string_view("?after=").size());
+    const auto query = target.substr(queryStart + AfterField.size());
     std::uint64_t after = 0;
-    const bool isNumber = std::from_chars(version.data(), version.data() + version.size(), after).ec == std::errc();
-    if (!isNumber || (table != "configuration" && table != "servers")) {
+    std::uint64_t era = 0;
+    const auto [end, error] = std::from_chars(query.data(), query.data() + query.size(), after);
+    const auto rest = std::string_view(end, static_cast<std::size_t>(query.data() + query.size() - end));
+    // Hosts of earlier releases do not name an era.
+    const bool isEra
+        = !rest.starts_with(EraField) || std::from_chars(rest.data() + EraField.size(), rest.data() + rest.size(), era).ec == std::errc();
+    if (error != std::errc() || !isEra || (table != "configuration" && table != "servers")) {
         return emptyResponse(400);
     }
     const auto sourceTable = table == "servers" ? SourceTable::Servers : SourceTable::Configuration;
-    return this->stateSync.handleReplicaRequest(request, sourceTable, after);
+    return this->stateSync.handleReplicaRequest(request, sourceTable, {StoreEra(era), after});
 }
 
 http::HttpResponse GatewayProcess::Parts::handleStateRequest()
--- a/packages/gateway/lib/peerlink.cpp
+++ b/packages/gateway/lib/peerlink.cpp
@@ -194,8 +194,8 @@
     status.host = record.id;
     status.failureDomain = record.failureDomain;
     status.controlAddress = record.controlAddress;
-    status.configurationVersion = static_cast<std::uint64_t>(received->configurationVersion);
-    status.serversVersion = static_cast<std::uint64_t>(received->serversVersion);
+    status.configurationVersion = toStoreVersion(received->configurationEra, received->configurationVersion);
+    status.serversVersion = toStoreVersion(received->serversEra, received->serversVersion);
     status.heartbeatInterval = record.heartbeatInterval;
     if (received->storeContactAgeMs >= 0) {
         status.storeContactAge = milliseconds(received->storeContactAgeMs);
@@ -234,6 +234,8 @@
     heartbeat.beatIntervalMs = brief.beatIntervalMs;
     heartbeat.configurationVersion = brief.configurationVersion;
     heartbeat.serversVersion = brief.serversVersion;
+    heartbeat.configurationEra = brief.configurationEra;
+    heartbeat.serversEra = brief.serversEra;
     heartbeat.storeContactAgeMs = brief.storeContactAgeMs;
     heartbeat.reachPermille = brief.reachPermille;
     heartbeat.domainHosts = brief.domainHosts;
@@ -356,8 +358,10 @@
 {
     auto heartbeat = toHeartbeat(this->parts.directory.own());
     const auto status = this->parts.sync.replicaStatus();
-    heartbeat.configurationVersion = static_cast<std::int64_t>(status.configurationVersion);
-    heartbeat.serversVersion = static_cast<std::int64_t>(status.serversVersion);
+    heartbeat.configurationVersion = static_cast<std::int64_t>(status.configurationVersion.number);
+    heartbeat.configurationEra = static_cast<std::int64_t>(status.configurationVersion.era.count());
+    heartbeat.serversVersion = static_cast<std::int64_t>(status.serversVersion.number);
+    heartbeat.serversEra = static_cast<std::int64_t>(status.serversVersion.era.count());
     if (status.storeContactAge) {
         heartbeat.storeContactAgeMs = static_cast<std::int32_t>(std::chrono::duration_cast<milliseconds>(*status.storeContactAge).count());
     }
@@ -388,6 +392,8 @@
     brief.beatIntervalMs = heartbeat.beatIntervalMs;
     brief.configurationVersion = heartbeat.configurationVersion;
     brief.serversVersion = heartbeat.serversVersion;
+    brief.configurationEra = heartbeat.configurationEra;
+    brief.serversEra = heartbeat.serversEra;
     brief.storeContactAgeMs = heartbeat.storeContactAgeMs;
     brief.reachPermille = heartbeat.reachPermille;
     brief.domainHosts = heartbeat.domainHosts;
--- a/packages/gateway/lib/pullschedule.cpp
+++ b/packages/gateway/lib/pullschedule.cpp
@@ -26,7 +26,7 @@
 {
 }
 
-void PullSchedule::onAnnouncement(const VersionAnnouncement &announcement, std::uint64_t ownVersion, MonotonicTime now)
+void PullSchedule::onAnnouncement(const VersionAnnouncement &announcement, StoreVersion ownVersion, MonotonicTime now)
 {
     auto &peer = this->peers[announcement.host];
     peer.announcement = announcement;
@@ -38,7 +38,7 @@
     }
 }
 
-void PullSchedule::onOwnVersion(std::uint64_t ownVersion, MonotonicTime now)
+void PullSchedule::onOwnVersion(StoreVersion ownVersion, MonotonicTime now)
 {
     if (this->newestAnnouncement > ownVersion) {
         this->behindFrom = now;
@@ -75,7 +75,7 @@
     });
 }
 
-std::optional<Pull> PullSchedule::next(std::uint64_t ownVersion, MonotonicTime now)
+std::optional<Pull> PullSchedule::next(StoreVersion ownVersion, MonotonicTime now)
 {
     if (!this->behindFrom || this->pendingPulls >= MaxPendingPulls) {
         return std::nullopt;
--- a/packages/gateway/lib/pullschedule.h
+++ b/packages/gateway/lib/pullschedule.h
@@ -2,8 +2,8 @@
 
 #include <rhubarbtiller/base/clock.h>
 #include <rhubarbtiller/base/strongid.h>
+#include <rhubarbtiller/gateway/statesource.h>
 
-#include <cstdint>
 #include <map>
 #include <optional>
 
@@ -15,7 +15,7 @@
     HostId host;
     FailureDomainId failureDomain;
     Endpoint controlAddress;
-    std::uint64_t version = 0;
+    StoreVersion version;
     /// Longest time until the peer's next heartbeat.
     Duration heartbeatInterval{};
 };
@@ -46,13 +46,13 @@
     explicit PullSchedule(FailureDomainId ownFailureDomain);
 
     /// Records a heartbeat of a peer. Precondition: \p now does not go back.
-    void onAnnouncement(const VersionAnnouncement &announcement, std::uint64_t ownVersion, MonotonicTime now);
+    void onAnnouncement(const VersionAnnouncement &announcement, StoreVersion ownVersion, MonotonicTime now);
 
     /// Records progress of the own replica. Precondition: \p now does not go back.
-    void onOwnVersion(std::uint64_t ownVersion, MonotonicTime now);
+    void onOwnVersion(StoreVersion ownVersion, MonotonicTime now);
 
     /// Returns the pull to start now, if any. Precondition: \p now does not go back; the caller reports its outcome.
-    std::optional<Pull> next(std::uint64_t ownVersion, MonotonicTime now);
+    std::optional<Pull> next(StoreVersion ownVersion, MonotonicTime now);
 
     /// Records the end of a pull. Precondition: next() returned one from \p host that has not ended.
     void onEnd(const HostId &host, PullOutcome outcome, MonotonicTime now);
@@ -61,8 +61,8 @@
     /// behind. Precondition: none.
     bool isPullPromising(MonotonicTime now) const;
 
-    /// Returns the newest version that a peer announced; 0 if none did. Precondition: none.
-    std::uint64_t announcedVersion() const
+    /// Returns the newest version that a peer announced; number 0 if none did. Precondition: none.
+    StoreVersion announcedVersion() const
     {
         return this->newestAnnouncement;
     }
@@ -99,7 +99,7 @@
 
     FailureDomainId ownDomain;
     std::map<HostId, PeerState> peers;
-    std::uint64_t newestAnnouncement = 0;
+    StoreVersion newestAnnouncement;
     std::optional<MonotonicTime> behindFrom;
     unsigned pendingPulls = 0;
     unsigned timeouts = 0;
--- a/packages/gateway/lib/statesync.cpp
+++ b/packages/gateway/lib/statesync.cpp
@@ -66,6 +66,9 @@
 /// Identifies the store as the source of a change.
 static constexpr std::string_view StoreSource = "store";
 
+/// Identifies rows that nobody wrote again after a return of the store, or that the store kept, as the source of a change.
+static constexpr std::string_view SettledReturnSource = "settled_return";
+
 static std::string_view tableName(SourceTable table)
 {
     switch (table) {
@@ -87,11 +90,16 @@
     return std::chrono::duration<double>(duration).count();
 }
 
+static bool hasRows(const TableReplica &replica)
+{
+    return replica.version().number > 0;
+}
+
 StateSync::StateSync(Parts syncParts)
     : parts(std::move(syncParts))
     , timer(parts.context)
-    , configuration(SourceTable::Configuration, parts.ownDomain)
-    , servers(SourceTable::Servers, parts.ownDomain)
+    , configuration(SourceTable::Configuration, parts.decoder, parts.ownDomain)
+    , servers(SourceTable::Servers, parts.decoder, parts.ownDomain)
 {
 }
 
@@ -134,8 +142,18 @@
     }
 }
 
+/// Ends the time in which rows of the store may be older than those of the replica.
+void StateSync::settle(TableState &state, MonotonicTime now)
+{
+    if (state.replica.settle(now)) {
+        this->onTableChanged(state, SettledReturnSource);
+    }
+}
+
 void StateSync::update()
 {
+    this->settle(this->configuration, this->parts.clock.now());
+    this->settle(this->servers, this->parts.clock.now());
     this->requestChanges(this->configuration);
     this->requestChanges(this->servers);
     this->pullFromPeers(this->configuration);
@@ -181,14 +199,14 @@
     const auto now = this->parts.clock.now();
     const bool reads = this->shouldReadStore(now);
     // A host that starts may still receive the tables from a peer.
-    const bool isReader = reads && (this->configuration.replica.version() > 0 || this->servers.replica.version() > 0);
+    const bool isReader = reads && (hasRows(this->configuration.replica) || hasRows(this->servers.replica));
     this->logReaderRole(isReader, now);
     this->isReadingStore = isReader;
     if (!reads && std::exchange(this->isStoreUnavailable, false)) {
         // A peer is in contact with the store, so entries that are removed from now on are not retained as expired during an outage.
-        logEvent(LogLevel::Info, "store_regained", {{"through", "peer"}, {"servers_version", this->servers.replica.version()}});
+        logEvent(LogLevel::Info, "store_regained", {{"through", "peer"}, {"servers_version", this->servers.replica.version().number}});
     }
-    const bool isFirstRead = state.replica.version() == 0;
+    const bool isFirstRead = !hasRows(state.replica);
     const bool isDue = isFirstRead ? this->shouldMakeFirstRead(state, now) : reads || this->isWaitingInVain(state, now);
     if (state.hasPendingRead || now < state.nextReadAt || !isDue) {
         return;
@@ -202,7 +220,7 @@
         this->parts.source.read(state.table, handler);
         return;
     }
-    this->parts.source.watch(state.table, state.replica.position(), WatchTimeout, handler);
+    this->parts.source.watch(state.table, state.replica.position().number, WatchTimeout, handler);
 }
 
 /// Returns whether peers announce a newer version for some time, and none of them is likely to deliver it soon.
@@ -213,7 +231,7 @@
 }
 
 /// Returns the version up to which the replica is complete.
-static std::uint64_t completeVersion(const TableReplica &replica)
+static StoreVersion completeVersion(const TableReplica &replica)
 {
     return std::max(replica.version(), replica.position());
 }
@@ -258,16 +276,9 @@
         this->onStoreFailure(state, batch.error(), now);
         return;
     }
-    const bool isOlder = batch->version < state.replica.position();
-    if (isOlder && !state.isStoreBehind) {
-        logEvent(LogLevel::Warning,
-                 "store_version_went_back",
-                 {{"table", tableName(state.table)},
-                  {"is_whole_table", isWhole},
-                  {"store_version", batch->version},
-                  {"position", state.replica.position()}});
+    if (!this->followsReplica(state, isWhole, batch->storeVersion(), now)) {
+        return;
     }
-    state.isStoreBehind = isOlder;
     this->onStoreResponse(state, now);
     state.consecutiveFailures = 0;
     const bool hasChanged = isWhole ? state.replica.replace(*batch, now) : state.replica.apply(*batch, now);
@@ -281,6 +292,43 @@
     this->requestChanges(state);
 }
 
+/// Returns whether a response of the store can be applied to the replica; plans the next read if not.
+bool StateSync::followsReplica(TableState &state, bool isWhole, StoreVersion version, MonotonicTime now)
+{
+    const auto position = state.replica.position();
+    if (version.era > position.era && hasRows(state.replica)) {
+        logEvent(LogLevel::Warning,
+                 "store_returned",
+                 {{"table", tableName(state.table)},
+                  {"store_era", version.era.count()},
+                  {"store_version", version.number},
+                  {"era_before", position.era.count()},
+                  {"position_before", position.number}});
+        if (!isWhole) {
+            // The changes follow a position of the earlier era.
+            state.needsFullRead = true;
+            this->requestChanges(state);
+        }
+        return isWhole;
+    }
+    const bool isOlder = isWhole ? version < position : version.era < position.era;
+    if (isOlder && !std::exchange(state.isStoreBehind, true)) {
+        logEvent(LogLevel::Warning,
+                 "store_version_went_back",
+                 {{"table", tableName(state.table)},
+                  {"is_whole_table", isWhole},
+                  {"store_version", version.number},
+                  {"store_era", version.era.count()},
+                  {"position", position.number}});
+    }
+    if (isOlder) {
+        // A response that the replica ignores is no contact with the store: another host of the domain has to read it.
+        this->delayNextRead(state, now);
+    }
+    state.isStoreBehind = isOlder;
+    return !isOlder;
+}
+
 void StateSync::onStoreResponse(TableState &state, MonotonicTime now)
 {
     state.lastResponseAt = now;
@@ -291,29 +339,35 @@
         logEvent(LogLevel::Info,
                  "store_regained",
                  {{"away_s", seconds(now - this->storeUnavailableSince)},
-                  {"configuration_version", this->configuration.replica.version()},
-                  {"servers_version", this->servers.replica.version()}});
+                  {"configuration_version", this->configuration.replica.version().number},
+                  {"servers_version", this->servers.replica.version().number}});
     }
 }
 
 void StateSync::onStoreFailure(TableState &state, const std::error_code &error, MonotonicTime now)
 {
     if (error == SourceError::HistoryGone) {
-        logEvent(LogLevel::Info, "store_history_gone", {{"table", tableName(state.table)}, {"position", state.replica.position()}});
+        logEvent(LogLevel::Info, "store_history_gone", {{"table", tableName(state.table)}, {"position", state.replica.position().number}});
         state.needsFullRead = true;
         this->requestChanges(state);
         return;
     }
-    ++state.consecutiveFailures;
-    if (state.consecutiveFailures >= OutageFailureThreshold && !std::exchange(this->isStoreUnavailable, true)) {
+    if (state.consecutiveFailures + 1 >= OutageFailureThreshold && !std::exchange(this->isStoreUnavailable, true)) {
         this->storeUnavailableSince = now;
         logEvent(LogLevel::Warning,
                  "store_lost",
                  {{"table", tableName(state.table)},
                   {"error", error.message()},
-                  {"configuration_version", this->configuration.replica.version()},
-                  {"servers_version", this->servers.replica.version()}});
+                  {"configuration_version", this->configuration.replica.version().number},
+                  {"servers_version", this->servers.replica.version().number}});
     }
+    this->delayNextRead(state, now);
+}
+
+/// Delays the next call after one that did not advance the replica.
+void StateSync::delayNextRead(TableState &state, MonotonicTime now)
+{
+    ++state.consecutiveFailures;
     const auto maxDelay = this->rank.load() < FastRetryRanks ? MaxRetryDelay : MaxStandbyRetryDelay;
     const auto delay = std::min(maxDelay, InitialRetryDelay * (1 << std::min(state.consecutiveFailures, MaxRetryDelayDoublings)));
     state.nextReadAt = now + delay / 2 + std::chrono::milliseconds(this->parts.random.below(static_cast<std::uint64_t>(delay.count())));
@@ -334,7 +388,7 @@
     for (auto *const state : {&this->configuration, &this->servers}) {
         // A host that has nothing yet would not recognize rows that were removed or withdrawn long ago. If the store does not serve it,
         // the rows that the other hosts use are the best that there are.
-        if (state->replica.version() > 0 || isInContact || state->consecutiveFailures > 0) {
+        if (hasRows(state->replica) || isInContact || state->consecutiveFailures > 0) {
             const auto version = state->table == SourceTable::Configuration ? peer.configurationVersion : peer.serversVersion;
             this->onAnnouncedVersion(*state, version, peer, now);
         }
@@ -343,7 +397,7 @@
     this->pullFromPeers(this->servers);
 }
 
-void StateSync::onAnnouncedVersion(TableState &state, std::uint64_t version, const PeerReplicaStatus &peer, MonotonicTime now)
+void StateSync::onAnnouncedVersion(TableState &state, StoreVersion version, const PeerReplicaStatus &peer, MonotonicTime now)
 {
     const bool isNewest = version > state.pulls.announcedVersion();
     const auto ownVersion = completeVersion(state.replica);
@@ -356,11 +410,17 @@
     if (state.table != SourceTable::Configuration) {
         return;
     }
-    this->announcedConfigurationVersion = version;
+    {
+        const std::lock_guard lock(this->versionsMutex);
+        this->versions.announcedConfigurationVersion = version;
+    }
     if (version > ownVersion) {
         logEvent(LogLevel::Info,
                  "configuration_announced",
-                 {{"store_version", version}, {"own_store_version", state.replica.version()}, {"from", peer.host.text()}});
+                 {{"store_version", version.number},
+                  {"store_era", version.era.count()},
+                  {"own_store_version", state.replica.version().number},
+                  {"from", peer.host.text()}});
     }
 }
 
@@ -373,7 +433,8 @@
     http::HttpCall call;
     call.server = pull->address;
     call.request.method = "GET";
-    call.request.target = "/replica/" + std::string(tableName(state.table)) + "?after=" + std::to_string(state.replica.version());
+    call.request.target = "/replica/" + std::string(tableName(state.table)) + "?after=" + std::to_string(state.replica.version().number)
+        + "&era=" + std::to_string(state.replica.version().era.count());
     call.request.headers.push_back({"Accept-Encoding", std::string(http::DeflateCoding)});
     call.deadline = pull->deadline;
     call.maxAnswer = MaxReplicaSize;
@@ -441,19 +502,22 @@
                 logEvent(LogLevel::Info,
                          "configuration_applied",
                          {{"version", next->version().count()},
-                          {"store_version", state.replica.version()},
+                          {"store_version", state.replica.version().number},
+                          {"store_era", state.replica.version().era.count()},
                           {"from", from},
                           {"announced_by", wasAnnounced ? state.announcedBy.text() : std::string()},
                           {"announced_ms_ago", wasAnnounced ? (now - state.announcedAt) / std::chrono::milliseconds(1) : 0}});
             }
             this->catalog = std::move(next);
         }
-        this->configurationVersion = state.replica.version();
+        const std::lock_guard lock(this->versionsMutex);
+        this->versions.configurationVersion = state.replica.version();
     } else {
         if (from == StoreSource) {
             this->retainExpiredServers(state.replica.removedRows(), now);
         }
-        this->serversVersion = state.replica.version();
+        const std::lock_guard lock(this->versionsMutex);
+        this->versions.serversVersion = state.replica.version();
     }
     this->publish();
 }
@@ -474,7 +538,7 @@
         if (decoded.entry) {
             entries.push_back(*decoded.entry);
         } else if (this->loggedUnreadableRows.size() < MaxLoggedUnreadableRows && this->loggedUnreadableRows.insert(key).second) {
-            logEvent(LogLevel::Warning, "server_entry_unreadable", {{"key", key}, {"version", row.version}});
+            logEvent(LogLevel::Warning, "server_entry_unreadable", {{"key", key}, {"version", row.version.number}});
         }
     }
     std::erase_if(this->expiredServers, [this, now](const auto &expired) {
@@ -528,7 +592,7 @@
     }
     logEvent(LogLevel::Info,
              "servers_changed",
-             {{"store_version", this->servers.replica.version()},
+             {{"store_version", this->servers.replica.version().number},
               {"known", static_cast<std::uint64_t>(next.entries().size())},
               {"lapsed", static_cast<std::uint64_t>(this->expiredServers.size())},
               {"added", joinIds(added)},
@@ -546,8 +610,9 @@
     for (const auto &domain : next) {
         names.push_back(domain.text());
     }
-    logEvent(
-        LogLevel::Info, "evacuations_changed", {{"store_version", this->configuration.replica.version()}, {"evacuated", joinIds(names)}});
+    logEvent(LogLevel::Info,
+             "evacuations_changed",
+             {{"store_version", this->configuration.replica.version().number}, {"evacuated", joinIds(names)}});
     this->loggedEvacuations = next;
 }
 
@@ -576,9 +641,10 @@
 OwnReplicaStatus StateSync::replicaStatus() const
 {
     OwnReplicaStatus ownStatus;
-    ownStatus.configurationVersion = this->configurationVersion.load();
-    ownStatus.serversVersion = this->serversVersion.load();
-    ownStatus.announcedConfigurationVersion = this->announcedConfigurationVersion.load();
+    {
+        const std::lock_guard lock(this->versionsMutex);
+        ownStatus = this->versions;
+    }
     ownStatus.isReadingStore = this->isReadingStore.load();
     if (ownStatus.isReadingStore && this->lastContact.load() != 0) {
         ownStatus.storeContactAge = Duration(this->parts.clock.now().time_since_epoch().count() - this->lastContact.load());
@@ -586,7 +652,7 @@
     return ownStatus;
 }
 
-http::HttpResponse StateSync::handleReplicaRequest(const http::HttpRequest &request, SourceTable table, std::uint64_t after)
+http::HttpResponse StateSync::handleReplicaRequest(const http::HttpRequest &request, SourceTable table, StoreVersion after)
 {
     const auto &state = table == SourceTable::Configuration ? this->configuration : this->servers;
     http::HttpResponse response{200, {{"Content-Type", "application/octet-stream"}}, {}};
@@ -602,7 +668,7 @@
 }
 
 /// Returns the compressed rows for a peer; empty if they are too small to compress.
-std::string StateSync::compressedRows(const TableState &state, std::uint64_t after)
+std::string StateSync::compressedRows(const TableState &state, StoreVersion after)
 {
     const auto version = state.replica.version();
     const auto now = this->parts.clock.now();
--- a/packages/gateway/lib/statesync.h
+++ b/packages/gateway/lib/statesync.h
@@ -12,6 +12,7 @@
 
 #include <atomic>
 #include <map>
+#include <mutex>
 
 namespace rhubarbtiller::gateway {
 
@@ -21,8 +22,8 @@
     HostId host;
     FailureDomainId failureDomain;
     Endpoint controlAddress;
-    std::uint64_t configurationVersion = 0;
-    std::uint64_t serversVersion = 0;
+    StoreVersion configurationVersion;
+    StoreVersion serversVersion;
     /// Time since the store answered the peer for each table; unset if it does not read the store itself.
     std::optional<Duration> storeContactAge;
     /// Longest time until the peer's next heartbeat.
@@ -32,13 +33,13 @@
 /// Replica versions and store contact that this host reports.
 struct OwnReplicaStatus
 {
-    std::uint64_t configurationVersion = 0;
-    std::uint64_t serversVersion = 0;
+    StoreVersion configurationVersion;
+    StoreVersion serversVersion;
     /// Whether this host reads the store, which may not have answered yet for both tables.
     bool isReadingStore = false;
     std::optional<Duration> storeContactAge;
     /// The newest store version of the configuration that a peer announced.
-    std::uint64_t announcedConfigurationVersion = 0;
+    StoreVersion announcedConfigurationVersion;
 };
 
 /// Updates the host's replicas of the configuration and of the servers, and publishes the state that the request path reads.
@@ -92,12 +93,13 @@
     /// Responds to a peer whose replica has version \p after with the newer rows, compressed if \p request accepts that.
     ///
     /// Precondition: none.
-    http::HttpResponse handleReplicaRequest(const http::HttpRequest &request, SourceTable table, std::uint64_t after);
+    http::HttpResponse handleReplicaRequest(const http::HttpRequest &request, SourceTable table, StoreVersion after);
 
 private:
     struct TableState
     {
-        TableState(SourceTable sourceTable, FailureDomainId ownDomain) : table(sourceTable), pulls(std::move(ownDomain))
+        TableState(SourceTable sourceTable, const StateDecoder &decoder, FailureDomainId ownDomain)
+            : table(sourceTable), pulls(std::move(ownDomain)), replica(sourceTable, decoder)
         {
         }
 
@@ -120,8 +122,8 @@
     /// The compressed rows of a table for peers at one version, since most peers are at the same version.
     struct CompressedRows
     {
-        std::uint64_t after = 0;
-        std::uint64_t version = 0;
+        StoreVersion after;
+        StoreVersion version;
         MonotonicTime composedAt{};
         std::string bytes;
     };
@@ -129,7 +131,7 @@
     /// An entry as decoded from one version of its row; none if the row describes no server.
     struct DecodedEntry
     {
-        std::uint64_t version = 0;
+        StoreVersion version;
         std::optional<catalog::ServerEntry> entry;
     };
 
@@ -145,15 +147,18 @@
     bool shouldReadStore(MonotonicTime now) const;
     void onBatch(TableState &state, bool isWhole, const Result<SourceBatch> &batch);
     void onStoreResponse(TableState &state, MonotonicTime now);
-    void onAnnouncedVersion(TableState &state, std::uint64_t version, const PeerReplicaStatus &peer, MonotonicTime now);
+    void onAnnouncedVersion(TableState &state, StoreVersion version, const PeerReplicaStatus &peer, MonotonicTime now);
     void onProgress(TableState &state, MonotonicTime now);
     bool isWaitingInVain(const TableState &state, MonotonicTime now) const;
     bool shouldMakeFirstRead(const TableState &state, MonotonicTime now) const;
     void logReaderRole(bool reads, MonotonicTime now);
     void onStoreFailure(TableState &state, const std::error_code &error, MonotonicTime now);
+    bool followsReplica(TableState &state, bool isWhole, StoreVersion version, MonotonicTime now);
+    void delayNextRead(TableState &state, MonotonicTime now);
+    void settle(TableState &state, MonotonicTime now);
     void pullFromPeers(TableState &state);
     void onPullResponse(TableState &state, const HostId &host, const Result<http::HttpResponse> &response);
-    std::string compressedRows(const TableState &state, std::uint64_t after);
+    std::string compressedRows(const TableState &state, StoreVersion after);
     void onTableChanged(const TableState &state, std::string_view from);
     void retainExpiredServers(const ReplicatedRows &removed, MonotonicTime now);
     void publish();
@@ -180,9 +185,9 @@
     std::set<std::string> loggedUnreadableRows;
 
     std::atomic<std::size_t> rank{0};
-    std::atomic<std::uint64_t> configurationVersion{0};
-    std::atomic<std::uint64_t> serversVersion{0};
-    std::atomic<std::uint64_t> announcedConfigurationVersion{0};
+    mutable std::mutex versionsMutex;
+    /// Only the versions are set.
+    OwnReplicaStatus versions;
     /// When the store last answered a call for each of the tables; 0 before.
     std::atomic<std::int64_t> lastContact{0};
     std::atomic<bool> isReadingStore{false};
--- a/packages/gateway/lib/tablereplica.cpp
+++ b/packages/gateway/lib/tablereplica.cpp
@@ -1,27 +1,41 @@
 #include "tablereplica.h"
 
 #include <algorithm>
-#include <set>
+#include <cassert>
+#include <utility>
 
 namespace rhubarbtiller::gateway {
 
 /// Length of the removal history; exceeds the number of servers that a fleet loses within the time that a peer may lag.
 static constexpr std::size_t MaxRemovals = 1000;
 
+/// The store returns from copies that are some seconds old; removals before that are not in question.
+static constexpr Duration ErasedRowRetention = std::chrono::seconds(60);
+static constexpr std::size_t MaxErasedRows = 1000;
+
 /// Older rows have the same effect; bounds what a peer may send.
 static constexpr std::chrono::milliseconds MaxRowAge = std::chrono::hours(24);
 
+StoreVersion toStoreVersion(std::int64_t era, std::int64_t number)
+{
+    return {StoreEra(static_cast<std::uint64_t>(era)), static_cast<std::uint64_t>(number)};
+}
+
+TableReplica::TableReplica(SourceTable sourceTable, const StateDecoder &stateDecoder) : table(sourceTable), decoder(stateDecoder)
+{
+}
+
 /// Records a change of the replica.
-void TableReplica::recordChange(std::uint64_t version)
+void TableReplica::recordChange(StoreVersion version)
 {
-    if (this->newestChangeVersion == 0) {
+    if (this->newestChangeVersion.number == 0) {
         this->removalHistoryStart = version;
     }
     this->newestChangeVersion = version;
 }
 
 /// Records the removal of a row for peers that may have it, whether or not this replica had it.
-void TableReplica::recordRemoval(const std::string &key, std::uint64_t version)
+void TableReplica::recordRemoval(const std::string &key, StoreVersion version)
 {
     this->removals.push_back({version, key});
     while (this->removals.size() > MaxRemovals) {
@@ -31,43 +45,101 @@
 }
 
 /// Discards the removals up to \p version, since some before it are unknown.
-void TableReplica::forgetRemovals(std::uint64_t version)
+void TableReplica::forgetRemovals(StoreVersion version)
 {
     this->removals.clear();
     this->removalHistoryStart = version;
 }
 
-bool TableReplica::upsert(const std::string &key, std::string value, std::uint64_t version, MonotonicTime receivedAt)
+/// Begins the time in which rows of the new era may be older than those of the replica.
+void TableReplica::beginEra(MonotonicTime now)
+{
+    this->rewrittenBy = now + RewriteTime;
+    this->withheldUntil = now + EntryLifetime;
+    this->withheld.clear();
+}
+
+/// Returns whether \p offered is from before the removal of a row in an earlier era.
+bool TableReplica::isWithheld(const std::string &key, const ReplicatedRow &offered, MonotonicTime now) const
 {
-    auto &row = this->currentRows[key];
-    if (row.version >= version) {
+    const auto erased = this->erasedRows.find(key);
+    if (now >= this->withheldUntil || erased == this->erasedRows.end() || erased->second.row.version.era >= offered.version.era) {
         return false;
     }
-    row = {std::move(value), version, receivedAt};
+    return std::is_lteq(this->decoder.compareValues(this->table, key, offered.value, erased->second.row.value));
+}
+
+/// Adds a row of a full table, which may be older than the replica after a return of the store.
+bool TableReplica::upsertOfTable(const std::string &key, ReplicatedRow offered, MonotonicTime now)
+{
+    if (!this->currentRows.contains(key) && this->isWithheld(key, offered, now)) {
+        this->withheld[key] = std::move(offered);
+        return false;
+    }
+    return this->upsert(key, std::move(offered));
+}
+
+bool TableReplica::upsert(const std::string &key, ReplicatedRow offered)
+{
+    const auto [found, isNew] = this->currentRows.try_emplace(key);
+    auto &row = found->second;
+    if (!isNew) {
+        const bool isOtherEra = row.version.era != offered.version.era;
+        const bool isNewer = isOtherEra && std::is_gt(this->decoder.compareValues(this->table, key, row.value, offered.value));
+        if (isNewer) {
+            this->unconfirmed.erase(key);
+        }
+        if (row.version >= offered.version || isNewer) {
+            return false;
+        }
+        if (isOtherEra && row.value == offered.value) {
+            offered.receivedAt = row.receivedAt;
+        }
+    }
+    row = std::move(offered);
+    this->unconfirmed.erase(key);
+    this->withheld.erase(key);
+    this->erasedRows.erase(key);
     return true;
 }
 
-bool TableReplica::eraseRow(const std::string &key)
+bool TableReplica::eraseRow(const std::string &key, MonotonicTime now)
 {
+    this->unconfirmed.erase(key);
+    this->withheld.erase(key);
     auto node = this->currentRows.extract(key);
     if (node.empty()) {
         return false;
     }
+    if (this->erasedRows.size() >= MaxErasedRows) {
+        std::erase_if(this->erasedRows, [now](const auto &entry) {
+            return now - entry.second.erasedAt >= ErasedRowRetention;
+        });
+    }
+    if (this->erasedRows.size() < MaxErasedRows) {
+        this->erasedRows[key] = {node.mapped(), now};
+    }
     this->removed.insert(std::move(node));
     return true;
 }
 
-/// Erases the rows whose keys are not in \p keys; returns whether there were any.
-bool TableReplica::eraseAllExcept(const std::set<std::string> &keys)
+/// Erases the rows of era \p era whose keys are not in \p keys; returns whether there were any. Those of earlier eras stay until they had
+/// the time to be written again.
+bool TableReplica::eraseAllExcept(const std::set<std::string> &keys, StoreEra era, MonotonicTime now)
 {
     std::vector<std::string> obsoleteKeys;
     for (const auto &[key, row] : this->currentRows) {
-        if (!keys.contains(key)) {
+        if (keys.contains(key)) {
+            continue;
+        }
+        if (row.version.era < era && now < this->rewrittenBy) {
+            this->unconfirmed.insert(key);
+        } else {
             obsoleteKeys.push_back(key);
         }
     }
     for (const auto &key : obsoleteKeys) {
-        this->eraseRow(key);
+        this->eraseRow(key, now);
     }
     return !obsoleteKeys.empty();
 }
@@ -75,45 +147,52 @@
 bool TableReplica::replace(const SourceBatch &batch, MonotonicTime now)
 {
     this->removed.clear();
-    if (batch.version < this->watchPosition) {
+    const auto version = batch.storeVersion();
+    if (version < this->watchPosition) {
         return false;
     }
+    if (version.era != this->watchPosition.era) {
+        this->beginEra(now);
+    }
     std::set<std::string> keys;
     for (const auto &row : batch.rows) {
         keys.insert(row.key);
-        this->upsert(row.key, row.value, row.version, now);
+        this->upsertOfTable(row.key, {row.value, {batch.era, row.version}, now}, now);
     }
-    this->eraseAllExcept(keys);
-    this->watchPosition = batch.version;
-    const bool isNewer = batch.version > this->newestChangeVersion;
-    this->recordChange(batch.version);
-    this->forgetRemovals(batch.version);
+    this->eraseAllExcept(keys, batch.era, now);
+    this->watchPosition = version;
+    const bool isNewer = version > this->newestChangeVersion;
+    this->recordChange(version);
+    this->forgetRemovals(version);
     return isNewer;
 }
 
 bool TableReplica::apply(const SourceBatch &batch, MonotonicTime now)
 {
     this->removed.clear();
+    assert(batch.era == this->watchPosition.era && "changes of another era follow a full read");
     bool hasChanged = false;
     // The response of a peer may have overtaken the batch; of its rows, those that the replica lacks have been removed since.
     const auto completeUntil = this->watchPosition;
+    const auto version = batch.storeVersion();
     for (const auto &row : batch.rows) {
-        if (!row.isRemoved && row.version <= completeUntil) {
+        const StoreVersion rowVersion{batch.era, row.version};
+        if (!row.isRemoved && rowVersion <= completeUntil) {
             continue;
         }
         if (!row.isRemoved) {
-            hasChanged = this->upsert(row.key, row.value, row.version, now) || hasChanged;
+            hasChanged = this->upsert(row.key, {row.value, rowVersion, now}) || hasChanged;
             continue;
         }
         const auto found = this->currentRows.find(row.key);
-        if (found != this->currentRows.end() && found->second.version > row.version) {
+        if (found != this->currentRows.end() && found->second.version > rowVersion) {
             continue;
         }
-        this->recordRemoval(row.key, std::max(completeUntil, batch.version));
+        this->recordRemoval(row.key, std::max(completeUntil, version));
         // A peer may have the row although this replica never did.
-        hasChanged = this->eraseRow(row.key) || row.version > completeUntil || hasChanged;
+        hasChanged = this->eraseRow(row.key, now) || rowVersion > completeUntil || hasChanged;
     }
-    this->watchPosition = std::max(this->watchPosition, batch.version);
+    this->watchPosition = std::max(this->watchPosition, version);
     if (hasChanged) {
         this->recordChange(this->watchPosition);
     }
@@ -123,33 +202,61 @@
 bool TableReplica::applyPeerResponse(const wire::ReplicaAnswer &response, MonotonicTime now)
 {
     this->removed.clear();
-    const auto version = static_cast<std::uint64_t>(response.version);
+    const auto version = toStoreVersion(response.era, response.version);
     if (version <= this->newestChangeVersion || version < this->watchPosition) {
         return false;
     }
+    const bool isOtherEra = version.era != this->watchPosition.era;
+    if (isOtherEra && !response.__isset.keys) {
+        return false;
+    }
+    if (isOtherEra) {
+        this->beginEra(now);
+    }
     bool hasChanged = false;
     for (const auto &key : response.removed) {
         this->recordRemoval(key, version);
-        hasChanged = this->eraseRow(key) || hasChanged;
+        hasChanged = this->eraseRow(key, now) || hasChanged;
     }
     for (const auto &row : response.rows) {
         const auto receivedAt = now - std::min(MaxRowAge, std::chrono::milliseconds(std::max<std::int64_t>(0, row.ageMs)));
-        hasChanged = this->upsert(row.key, row.value, static_cast<std::uint64_t>(row.version), receivedAt) || hasChanged;
+        ReplicatedRow offered{row.value, toStoreVersion(row.era, row.version), receivedAt};
+        const bool isChanged
+            = isOtherEra ? this->upsertOfTable(row.key, std::move(offered), now) : this->upsert(row.key, std::move(offered));
+        hasChanged = isChanged || hasChanged;
     }
     if (response.__isset.keys) {
-        hasChanged = this->eraseAllExcept({response.keys.begin(), response.keys.end()}) || hasChanged;
+        hasChanged = this->eraseAllExcept({response.keys.begin(), response.keys.end()}, version.era, now) || hasChanged;
         this->forgetRemovals(version);
     }
     this->watchPosition = version;
     this->recordChange(version);
+    return hasChanged || isOtherEra;
+}
+
+bool TableReplica::settle(MonotonicTime now)
+{
+    this->removed.clear();
+    bool hasChanged = false;
+    if (now >= this->rewrittenBy) {
+        for (const auto &key : std::exchange(this->unconfirmed, {})) {
+            hasChanged = this->eraseRow(key, now) || hasChanged;
+        }
+    }
+    if (now >= this->withheldUntil) {
+        for (auto &[key, row] : std::exchange(this->withheld, {})) {
+            hasChanged = this->upsert(key, std::move(row)) || hasChanged;
+        }
+    }
     return hasChanged;
 }
 
-wire::ReplicaAnswer TableReplica::changesSince(std::uint64_t after, MonotonicTime now) const
+wire::ReplicaAnswer TableReplica::changesSince(StoreVersion after, MonotonicTime now) const
 {
     wire::ReplicaAnswer response;
-    response.version = static_cast<std::int64_t>(this->newestChangeVersion);
-    const bool hasRemovalHistory = after >= this->removalHistoryStart && after > 0;
+    response.version = static_cast<std::int64_t>(this->newestChangeVersion.number);
+    response.era = static_cast<std::int64_t>(this->newestChangeVersion.era.count());
+    const bool hasRemovalHistory = after >= this->removalHistoryStart && after.number > 0;
     response.__isset.keys = !hasRemovalHistory;
     response.__isset.removed = hasRemovalHistory;
     for (const auto &removal : this->removals) {
@@ -158,19 +265,29 @@
             response.removed.push_back(removal.key);
         }
     }
-    for (const auto &[key, row] : this->currentRows) {
+    const auto addRow = [&](const std::string &key, const ReplicatedRow &row) {
         if (!hasRemovalHistory) {
             response.keys.push_back(key);
         }
         if (row.version <= after) {
-            continue;
+            return;
         }
         wire::ReplicaRow wireRow;
         wireRow.key = key;
         wireRow.value = row.value;
-        wireRow.version = static_cast<std::int64_t>(row.version);
+        wireRow.version = static_cast<std::int64_t>(row.version.number);
+        wireRow.era = static_cast<std::int64_t>(row.version.era.count());
         wireRow.ageMs = std::chrono::duration_cast<std::chrono::milliseconds>(now - row.receivedAt).count();
         response.rows.push_back(std::move(wireRow));
+    };
+    for (const auto &[key, row] : this->currentRows) {
+        // The peer decides by itself how long it keeps a row that the store lacks.
+        if (!this->unconfirmed.contains(key)) {
+            addRow(key, row);
+        }
+    }
+    for (const auto &[key, row] : this->withheld) {
+        addRow(key, row);
     }
     return response;
 }
--- a/packages/gateway/unittests/fakes.h
+++ b/packages/gateway/unittests/fakes.h
@@ -198,6 +198,15 @@
         entry.isDraining = row.value == "draining";
         return entry;
     }
+
+    std::partial_ordering
+    compareValues(SourceTable table, const std::string &key, const std::string &left, const std::string &right) const override
+    {
+        if (table == SourceTable::Servers) {
+            return (left == "draining") <=> (right == "draining");
+        }
+        return key == "config" ? std::stoull(left) <=> std::stoull(right) : std::partial_ordering::unordered;
+    }
 };
 
 } // namespace rhubarbtiller::gateway
--- a/packages/gateway/unittests/pullscheduletest.cpp
+++ b/packages/gateway/unittests/pullscheduletest.cpp
@@ -16,8 +16,9 @@
 public:
     void announce(const std::string &host, std::uint64_t version)
     {
-        this->schedule.onAnnouncement(
-            {HostId(host), FailureDomainId(host.substr(0, 1)), Endpoint(host), version, 250ms}, OwnVersion, this->clock.now());
+        this->schedule.onAnnouncement({HostId(host), FailureDomainId(host.substr(0, 1)), Endpoint(host), {StoreEra(), version}, 250ms},
+                                      OwnVersion,
+                                      this->clock.now());
     }
 
     /// Returns the peer to pull from now; empty for none.
@@ -27,7 +28,7 @@
         return pull ? pull->host.text() : "";
     }
 
-    static constexpr std::uint64_t OwnVersion = 10;
+    static constexpr StoreVersion OwnVersion{StoreEra(), 10};
     testing::VirtualClock clock;
     PullSchedule schedule{FailureDomainId("a")};
 };
@@ -100,12 +101,12 @@
 TEST_CASE("a host that is not behind pulls nothing")
 {
     ScheduleFixture fixture;
-    fixture.announce("a1", ScheduleFixture::OwnVersion);
+    fixture.announce("a1", ScheduleFixture::OwnVersion.number);
     CHECK(fixture.next().empty());
     CHECK_FALSE(fixture.schedule.behindSince());
     fixture.announce("a1", 15);
     CHECK(fixture.schedule.behindSince());
-    fixture.schedule.onOwnVersion(15, fixture.clock.now());
+    fixture.schedule.onOwnVersion({StoreEra(), 15}, fixture.clock.now());
     CHECK_FALSE(fixture.schedule.behindSince());
     CHECK(fixture.next().empty());
 }
--- a/packages/gateway/unittests/replicationsimulation.cpp
+++ b/packages/gateway/unittests/replicationsimulation.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <list>
 #include <memory>
+#include <optional>
 #include <set>
 
 namespace rhubarbtiller::gateway {
@@ -22,6 +23,15 @@
 constexpr Duration ApplyTime = 2s;
 constexpr Duration ApplyTimeOfUnstableStore = 7s;
 
+/// The store returns from a copy of this age; the operator and the servers write again what it has lost.
+constexpr Duration LostTime = 3s;
+constexpr Duration OperatorRewriteTime = 100ms;
+constexpr std::uint64_t ServerRewriteMs = 1500;
+/// Other writers raise the version of the store at this interval.
+constexpr Duration OtherWriteInterval = 50ms;
+/// Until the rows of all hosts are those of the store again.
+constexpr Duration SettleTime = 7s;
+
 /// Intervals and timeouts of the host and of the client of the store.
 constexpr Duration SyncInterval = 100ms;
 constexpr Duration LinkInterval = 50ms;
@@ -89,7 +99,7 @@
 
     void write(SourceTable table, std::string key, std::string value, bool isRemoved, MonotonicTime now)
     {
-        this->changes.push_back({table, {std::move(key), std::move(value), ++this->version, isRemoved}, now});
+        this->changes.push_back({table, {std::move(key), std::move(value), this->nextVersion(now), isRemoved}, now});
         std::list<Watcher> due;
         for (auto each = this->watchers.begin(); each != this->watchers.end();) {
             const auto next = std::next(each);
@@ -120,9 +130,36 @@
         return rows;
     }
 
+    /// Goes back to the rows of an earlier moment; returns the changes that are lost.
+    std::vector<Change> returnFrom(MonotonicTime copiedAt)
+    {
+        const auto firstLost = std::find_if(this->changes.begin(), this->changes.end(), [copiedAt](const Change &change) {
+            return change.at > copiedAt;
+        });
+        std::vector<Change> lost(firstLost, this->changes.end());
+        this->changes.erase(firstLost, this->changes.end());
+        const auto copied = std::find_if(this->versionTimes.rbegin(), this->versionTimes.rend(), [copiedAt](const auto &entry) {
+            return entry.second <= copiedAt;
+        });
+        this->version = copied == this->versionTimes.rend() ? 0 : copied->first;
+        this->versionTimes.erase(copied.base(), this->versionTimes.end());
+        this->era = StoreEra(this->era.count() + 1);
+        this->historyStart = std::min(this->historyStart, this->version);
+        ++this->returns;
+        // Their connections end; the calls fail by their timeouts.
+        this->watchers.clear();
+        return lost;
+    }
+
+    std::uint64_t nextVersion(MonotonicTime now)
+    {
+        this->versionTimes.emplace_back(++this->version, now);
+        return this->version;
+    }
+
     SourceBatch read(SourceTable table) const
     {
-        SourceBatch batch{{}, this->version};
+        SourceBatch batch{{}, this->version, this->era};
         for (const auto &[key, row] : this->rowsAt(table, this->version)) {
             batch.rows.push_back(row);
         }
@@ -137,7 +174,7 @@
                 latest[change.row.key] = change.row;
             }
         }
-        SourceBatch batch{{}, this->version};
+        SourceBatch batch{{}, this->version, this->era};
         for (const auto &[key, row] : latest) {
             batch.rows.push_back(row);
         }
@@ -147,6 +184,9 @@
     std::vector<Change> changes;
     std::list<Watcher> watchers;
     std::uint64_t version = 0;
+    StoreEra era;
+    unsigned returns = 0;
+    std::vector<std::pair<std::uint64_t, MonotonicTime>> versionTimes;
     std::uint64_t historyStart = 0;
 };
 
@@ -175,7 +215,7 @@
     PeerLink link;
     std::uint64_t publishedVersion = 0;
     std::uint64_t appliedVersion = 0;
-    std::uint64_t checkedVersion = 0;
+    StoreVersion checkedVersion;
 };
 
 /// A host with its faults.
@@ -315,6 +355,9 @@
     void beginFault(const HostFaultPlan &fault);
     void disturb(SimulatedHost &host, HostFault kind, MonotonicTime until);
     void change(StoreChange kind);
+    void write(SourceTable table, std::string key, std::string value, bool isRemoved);
+    void returnStore();
+    void raiseStoreVersion();
     void check();
     void checkHost(const SimulatedHost &host);
     Duration applyBound(const SimulatedHost &host) const;
@@ -331,6 +374,9 @@
     unsigned nextServer = 0;
     MonotonicTime beganAt{};
     MonotonicTime storeUnstableUntil{};
+    std::optional<MonotonicTime> returnedAt;
+    /// Each change that the store has acknowledged once, in order.
+    std::vector<SimulatedStore::Change> acknowledged;
     std::set<std::pair<HostId, std::string>> reported;
     /// When the store acknowledged each configuration.
     std::map<std::uint64_t, MonotonicTime> acknowledgedAt;
@@ -460,7 +506,7 @@
     scheduler.at(std::max(scheduler.now(), host.cutFromStoreUntil) + StoreLatency,
                  [&owner = this->simulation, table, after, wait, complete] {
                      auto &store = owner.store;
-                     if (after < store.historyStart) {
+                     if (after < store.historyStart || after > store.version) {
                          complete(make_error_code(SourceError::HistoryGone));
                          return;
                      }
@@ -474,10 +520,10 @@
                                                    complete(changes);
                                                }});
                      const auto position = std::prev(store.watchers.end());
-                     owner.scheduler.after(wait, [&store, position, isDone, table, complete] {
-                         if (!*isDone) {
+                     owner.scheduler.after(wait, [&store, position, isDone, table, complete, returns = store.returns] {
+                         if (!*isDone && returns == store.returns) {
                              store.watchers.erase(position);
-                             complete(SourceBatch{{}, store.version});
+                             complete(SourceBatch{{}, store.version, store.era});
                          }
                      });
                  });
@@ -512,8 +558,9 @@
         owner.execute(peer, PullRequestCost, [&owner, to, &from, peer = peer.get(), complete, request] {
             const bool isConfiguration = request.target.starts_with("/replica/configuration");
             const auto after = std::stoull(request.target.substr(request.target.find('=') + 1));
+            const auto era = std::stoull(request.target.substr(request.target.rfind('=') + 1));
             const auto table = isConfiguration ? SourceTable::Configuration : SourceTable::Servers;
-            const http::HttpOutcome outcome{peer->sync.handleReplicaRequest(request, table, after), true};
+            const http::HttpOutcome outcome{peer->sync.handleReplicaRequest(request, table, {StoreEra(era), after}), true};
             owner.scheduler.at(owner.arrival(*to, from), [complete, outcome] {
                 complete(outcome);
             });
@@ -664,21 +711,21 @@
     switch (kind) {
     case StoreChange::Configuration:
         this->acknowledgedAt[++this->nextConfiguration] = now;
-        this->store.write(SourceTable::Configuration, "config", std::to_string(this->nextConfiguration), false, now);
+        this->write(SourceTable::Configuration, "config", std::to_string(this->nextConfiguration), false);
         return;
     case StoreChange::Evacuation: {
         const auto key = std::string(EvacuationPrefix) + this->domains[this->random.below(this->domains.size())].text();
         const bool isPresent = this->store.rowsAt(SourceTable::Configuration, this->store.version).contains(key);
-        this->store.write(SourceTable::Configuration, key, "", isPresent, now);
+        this->write(SourceTable::Configuration, key, "", isPresent);
         return;
     }
     case StoreChange::AddServer:
-        this->store.write(SourceTable::Servers, "s" + std::to_string(this->nextServer++), "ready", false, now);
+        this->write(SourceTable::Servers, "s" + std::to_string(this->nextServer++), "ready", false);
         return;
     case StoreChange::DrainServer:
         for (const auto &[key, row] : this->store.rowsAt(SourceTable::Servers, this->store.version)) {
             if (row.value == "ready") {
-                this->store.write(SourceTable::Servers, key, "draining", false, now);
+                this->write(SourceTable::Servers, key, "draining", false);
                 return;
             }
         }
@@ -687,9 +734,50 @@
         this->store.historyStart = this->store.version;
         this->storeUnstableUntil = now + ContactTime;
         return;
+    case StoreChange::ReturnFromCopy:
+        this->returnStore();
+        return;
     }
 }
 
+void Simulation::write(SourceTable table, std::string key, std::string value, bool isRemoved)
+{
+    const auto now = this->clock.now();
+    this->acknowledged.push_back({table, {key, value, 0, isRemoved}, now});
+    this->store.write(table, std::move(key), std::move(value), isRemoved, now);
+}
+
+/// Has the store return from a copy, and its writers write the lost changes again in their order.
+void Simulation::returnStore()
+{
+    const auto now = this->clock.now();
+    this->returnedAt = now;
+    this->storeUnstableUntil = now + ContactTime;
+    for (const auto &lost : this->store.returnFrom(now - LostTime)) {
+        const bool isOperators = lost.table == SourceTable::Configuration;
+        const Duration delay = isOperators ? OperatorRewriteTime : std::chrono::milliseconds(this->random.below(ServerRewriteMs));
+        this->scheduler.after(delay, [this, lost] {
+            const auto rows = this->store.rowsAt(lost.table, this->store.version);
+            const auto current = rows.find(lost.row.key);
+            const bool isNewerWritten = current != rows.end()
+                && (lost.row.key == "config" ? std::stoull(current->second.value) > std::stoull(lost.row.value)
+                                             : current->second.value == "draining");
+            if (!isNewerWritten) {
+                this->store.write(lost.table, lost.row.key, lost.row.value, lost.row.isRemoved, this->clock.now());
+            }
+        });
+    }
+}
+
+/// Raises the version of the store without a change, as heartbeats of servers do.
+void Simulation::raiseStoreVersion()
+{
+    this->store.nextVersion(this->clock.now());
+    this->scheduler.after(OtherWriteInterval, [this] {
+        this->raiseStoreVersion();
+    });
+}
+
 void Simulation::report(const SimulatedHost &host, const std::string &description)
 {
     if (this->reported.emplace(host.record.id, description).second) {
@@ -746,11 +834,12 @@
     }
     process.appliedVersion = applied;
     const auto version = process.sync.replicaStatus().configurationVersion;
-    if (state && version > process.checkedVersion) {
+    const bool isSettled = version.era == this->store.era && (!this->returnedAt || now >= *this->returnedAt + SettleTime);
+    if (state && version > process.checkedVersion && isSettled) {
         process.checkedVersion = version;
         std::set<FailureDomainId> expected;
         std::uint64_t expectedConfiguration = 0;
-        for (const auto &[key, row] : this->store.rowsAt(SourceTable::Configuration, version)) {
+        for (const auto &[key, row] : this->store.rowsAt(SourceTable::Configuration, version.number)) {
             if (key.starts_with(EvacuationPrefix)) {
                 expected.emplace(key.substr(EvacuationPrefix.size()));
             } else {
@@ -759,7 +848,7 @@
         }
         if (expected != state->evacuatedDomains || expectedConfiguration != applied) {
             this->report(host,
-                         "rows differ from those of the store at version " + std::to_string(version) + ": configuration "
+                         "rows differ from those of the store at version " + std::to_string(version.number) + ": configuration "
                              + std::to_string(applied) + " in place of " + std::to_string(expectedConfiguration) + ", "
                              + std::to_string(state->evacuatedDomains.size()) + " evacuated domains in place of "
                              + std::to_string(expected.size()));
@@ -771,7 +860,7 @@
     const auto bound = this->applyBound(host);
     std::uint64_t due = 0;
     std::set<std::string> draining;
-    for (const auto &each : this->store.changes) {
+    for (const auto &each : this->acknowledged) {
         if (each.at + bound >= now) {
             break;
         }
@@ -841,6 +930,12 @@
             this->change(kind);
         });
     }
+    const bool hasReturn = std::any_of(this->plan.changes.begin(), this->plan.changes.end(), [](const StoreChangePlan &planned) {
+        return planned.kind == StoreChange::ReturnFromCopy;
+    });
+    if (hasReturn) {
+        this->raiseStoreVersion();
+    }
     this->check();
     this->scheduler.runUntil(this->beganAt + this->plan.length);
     return this->result;
@@ -897,6 +992,20 @@
     return plan;
 }
 
+ReplicationPlan randomReturnPlan(std::uint64_t seed)
+{
+    static constexpr int EarliestReturnMs = 6000;
+    static constexpr std::uint64_t LatestDelayMs = 4000;
+    auto plan = randomReplicationPlan(seed);
+    SeededRandom random(seed);
+    const Duration returnAt = std::chrono::milliseconds(EarliestReturnMs + random.below(LatestDelayMs));
+    plan.changes.push_back({StoreChange::ReturnFromCopy, returnAt});
+    // These have versions that the store gave out before its return.
+    plan.changes.push_back({StoreChange::Configuration, returnAt + OperatorRewriteTime * 2});
+    plan.changes.push_back({StoreChange::DrainServer, returnAt + OperatorRewriteTime * 3});
+    return plan;
+}
+
 std::string describeFaults(const ReplicationPlan &plan)
 {
     static constexpr std::array Kinds{"frozen",
@@ -920,6 +1029,9 @@
         if (change.kind == StoreChange::DropHistory) {
             text += "; history dropped";
         }
+        if (change.kind == StoreChange::ReturnFromCopy) {
+            text += "; store returns from a copy";
+        }
     }
     return text;
 }
--- a/packages/gateway/unittests/replicationsimulation.h
+++ b/packages/gateway/unittests/replicationsimulation.h
@@ -55,6 +55,8 @@
     DrainServer,
     /// Discards the history of changes.
     DropHistory,
+    /// The store comes back from a copy that is LostTime old; what it lost is written again.
+    ReturnFromCopy,
 };
 
 struct StoreChangePlan
@@ -97,6 +99,9 @@
 /// Returns a random plan of faults, with changes around their beginnings. Precondition: none.
 ReplicationPlan randomReplicationPlan(std::uint64_t seed);
 
+/// Returns a random plan in which the store returns from an older copy beside the other faults. Precondition: none.
+ReplicationPlan randomReturnPlan(std::uint64_t seed);
+
 /// Returns the faults of a plan in words. Precondition: none.
 std::string describeFaults(const ReplicationPlan &plan);
 
@@ -104,7 +109,7 @@
 ///
 /// - a change is in force 2 s after the store acknowledged it, or 7 s after it while the store refused this host or lost its history;
 /// - the configuration never reverts while the process runs;
-/// - the rows are those that the store had at the host's version;
+/// - the rows are those that the store had at the host's version, except for some seconds after its return from a copy;
 /// - a process does not start with a configuration that was replaced more than 1.5 s before.
 ///
 /// Precondition: none. Thread safety: any thread.
