Reject a response without a length whose connection was reset during the upload

A server answered a long upload at once with a 200 without a length, sent part of the body and reset the connection while the upload was being written; the caller got that part as a complete response.

The kernel reports a reset to the first call that sees it. While an upload is being written that is the write, whose result was not looked at, and the read then sees an orderly end, with which a response without a length is complete. Such a response is complete now only if the request has been written whole; a server that closes with unread bytes resets the connection, so one that ends before is none.

--- a/packages/gateway/lib/backendclient.cpp
+++ b/packages/gateway/lib/backendclient.cpp
@@ -489,8 +489,9 @@
         this->close();
         return;
     }
-    // A response without a length ends with its connection, but only after an orderly close.
-    if (error == asio::error::eof && this->parser->finish()) {
+    // A response without a length ends with its connection, but only after an orderly close. The kernel reports a reset once: if the write
+    // of the request got it, the read sees an orderly close.
+    if (error == asio::error::eof && this->isWritten && this->parser->finish()) {
         if (this->deliverResponse()) {
             return;
         }
--- a/packages/gateway/unittests/backendclienttest.cpp
+++ b/packages/gateway/unittests/backendclienttest.cpp
@@ -5,10 +5,13 @@
 
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
+#include <asio/write.hpp>
 
 #include <doctest/doctest.h>
 
+#include <array>
 #include <list>
+#include <thread>
 
 using namespace rhubarbtiller;
 using namespace rhubarbtiller::gateway;
@@ -29,9 +32,14 @@
 
     /// Sends a request and runs until its outcome, for at most two seconds.
     std::optional<AttemptOutcome> send(const std::string &id)
+    {
+        return this->send(this->call(id));
+    }
+
+    std::optional<AttemptOutcome> send(BackendCall call)
     {
         std::optional<AttemptOutcome> result;
-        this->lastAttempt = this->client->send(this->call(id), [&result](AttemptOutcome outcome) {
+        this->lastAttempt = this->client->send(std::move(call), [&result](AttemptOutcome outcome) {
             result = std::move(outcome);
         });
         const auto until = std::chrono::steady_clock::now() + 2s;
@@ -468,3 +476,30 @@
     CHECK(broken == EndlessResponses);
     CHECK(fixture.client->bufferedBytes().count() == 0);
 }
+
+// Guards against a reset that the write of the upload reports, after which the read sees an orderly end.
+TEST_CASE("a response without a length counts as complete although its connection was reset during the upload")
+{
+    static constexpr std::size_t UploadSize = 50'000'000;
+    asio::io_context serverContext;
+    asio::ip::tcp::acceptor acceptor(serverContext, {asio::ip::address_v4::loopback(), 0});
+    std::thread server([&acceptor] {
+        auto socket = acceptor.accept();
+        std::array<char, 4096> head{};
+        socket.read_some(asio::buffer(head));
+        asio::write(socket, asio::buffer(std::string("HTTP/1.1 200 OK\r\nId: 1\r\n\r\npart of the body")));
+        // The caller has read that much and waits for room to write more.
+        std::this_thread::sleep_for(300ms);
+        socket.set_option(asio::socket_base::linger(true, 0));
+        socket.close();
+    });
+    BackendFixture fixture([](const http::HttpRequest &, const std::shared_ptr<RawConnection> &) {
+    });
+    fixture.target = Endpoint("127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()));
+    auto call = fixture.call("1");
+    call.message.body = std::string(UploadSize, 'x');
+    const auto outcome = fixture.send(std::move(call));
+    server.join();
+    REQUIRE(outcome);
+    CHECK(outcome->end == AttemptEnd::Broken);
+}
