--- a/packages/http/unittests/httpclienttest.cpp
+++ b/packages/http/unittests/httpclienttest.cpp
@@ -3,6 +3,7 @@
 
 #include "testnetwork.h"
 
+#include <array>
 #include <future>
 
 using namespace rhubarbtiller;
@@ -149,6 +150,24 @@
 }
 
 // Guards against an earlier refusal, written once more on a kept connection, that answers a request which runs.
+// Guards against a reset that the write of the upload reports, after which the read sees an orderly end.
+TEST_CASE("client takes a response without a length for a whole one although its connection was reset during the upload")
+{
+    static constexpr std::size_t UploadSize = 50'000'000;
+    RawServer server([](asio::ip::tcp::socket &socket, int) {
+        std::array<char, 4096> head{};
+        socket.read_some(asio::buffer(head));
+        RawServer::write(socket, "HTTP/1.1 200 OK\r\n\r\npart of the body");
+        // The client has read that much and waits for room to write more.
+        std::this_thread::sleep_for(std::chrono::milliseconds(300));
+        socket.set_option(asio::socket_base::linger(true, 0));
+        socket.close();
+    });
+    ClientFixture fixture;
+    const auto outcome = fixture.run(fixture.call(server.endpoint(), "POST", std::string(UploadSize, 'x')));
+    CHECK_FALSE(outcome.response);
+}
+
 TEST_CASE("client takes no second copy of a refusal for the answer to the next request")
 {
     const std::string refusal = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 2\r\n\r\nno";
