Read the whole table when a store without rows returns from an older copy

An assertion ended the process: a host whose table was empty applied the response to its watch although the era had changed meanwhile. Any watch that is answered in a later era is followed by a read of the whole table now. The test failed before. Rows over 4 KB are not kept after their removal; entries of servers, for which that is done, take a few hundred bytes.

--- a/packages/gateway/lib/statesync.cpp
+++ b/packages/gateway/lib/statesync.cpp
@@ -296,14 +296,16 @@
 bool StateSync::followsReplica(TableState &state, bool isWhole, StoreVersion version, MonotonicTime now)
 {
     const auto position = state.replica.position();
-    if (version.era > position.era && hasRows(state.replica)) {
-        logEvent(LogLevel::Warning,
-                 "store_returned",
-                 {{"table", tableName(state.table)},
-                  {"store_era", version.era.count()},
-                  {"store_version", version.number},
-                  {"era_before", position.era.count()},
-                  {"position_before", position.number}});
+    if (version.era > position.era) {
+        if (hasRows(state.replica)) {
+            logEvent(LogLevel::Warning,
+                     "store_returned",
+                     {{"table", tableName(state.table)},
+                      {"store_era", version.era.count()},
+                      {"store_version", version.number},
+                      {"era_before", position.era.count()},
+                      {"position_before", position.number}});
+        }
         if (!isWhole) {
             // The changes follow a position of the earlier era.
             state.needsFullRead = true;
--- a/packages/gateway/lib/tablereplica.cpp
+++ b/packages/gateway/lib/tablereplica.cpp
@@ -13,6 +13,9 @@
 static constexpr Duration ErasedRowRetention = std::chrono::seconds(60);
 static constexpr std::size_t MaxErasedRows = 1000;
 
+/// Bounds the memory for removed rows; the entry of a server takes a few hundred bytes.
+static constexpr std::size_t MaxErasedRowBytes = 4096;
+
 /// Older rows have the same effect; bounds what a peer may send.
 static constexpr std::chrono::milliseconds MaxRowAge = std::chrono::hours(24);
 
@@ -116,7 +119,7 @@
             return now - entry.second.erasedAt >= ErasedRowRetention;
         });
     }
-    if (this->erasedRows.size() < MaxErasedRows) {
+    if (this->erasedRows.size() < MaxErasedRows && node.mapped().value.size() <= MaxErasedRowBytes) {
         this->erasedRows[key] = {node.mapped(), now};
     }
     this->removed.insert(std::move(node));
--- a/packages/gateway/unittests/statesynctest.cpp
+++ b/packages/gateway/unittests/statesynctest.cpp
@@ -496,3 +496,15 @@
     fixture.settle();
     CHECK(fixture.servers() == Names{"s1", "s2"});
 }
+
+TEST_CASE("a watch of an empty store ends the process when the store returns from an older copy")
+{
+    SyncFixture fixture;
+    fixture.source.answer(SourceTable::Configuration, SourceBatch{{}, 0, StoreEra(1)});
+    fixture.clock.advance(1s);
+    fixture.tick();
+    REQUIRE(fixture.source.pending(SourceTable::Configuration) != nullptr);
+    fixture.source.answer(SourceTable::Configuration, SourceBatch{{{"config", "1", 1, false}}, 1, StoreEra(2)});
+    REQUIRE(fixture.source.pending(SourceTable::Configuration) != nullptr);
+    CHECK(fixture.source.pending(SourceTable::Configuration)->isWhole);
+}
