Hold back rows of a returned store on every path to a replica

A review of the order by era found ways on which a row of the store's older copy still counted, each shown by a test that failed before:

- an entry that was held back came back after the store had removed it, if the removal came with a whole table or with the keys of a peer;
- a host that pulled from a peer used an entry that the peer holds back, if it had not seen the removal, or had asked before its own read of the new era; answers to pulls now name these rows and the time for which they don't count;
- an order of the operator that was withdrawn came back with the copy.
Its values do not say when they were written, so the same number and value as before the removal identify it;
- a configuration with a lower version that is written long after the return was ignored for good;
- negative versions, or rows beyond the version of an answer of a peer, stopped a replica from following the store.

--- a/packages/gateway/fleet.thrift
+++ b/packages/gateway/fleet.thrift
@@ -145,4 +145,7 @@
     // Keys that were removed since the peer's version; the rows are newer.
     4: optional list<string> removed
     5: i64 era
+    // Keys of rows that the store lists since its return although they were removed before, and how long they do not count yet.
+    6: optional list<string> withheld
+    7: i32 withheldMs
 }
--- a/packages/gateway/lib/tablereplica.cpp
+++ b/packages/gateway/lib/tablereplica.cpp
@@ -21,7 +21,10 @@
 
 StoreVersion toStoreVersion(std::int64_t era, std::int64_t number)
 {
-    return {StoreEra(static_cast<std::uint64_t>(era)), static_cast<std::uint64_t>(number)};
+    const auto notNegative = [](std::int64_t value) {
+        return static_cast<std::uint64_t>(std::max<std::int64_t>(0, value));
+    };
+    return {StoreEra(notNegative(era)), notNegative(number)};
 }
 
 TableReplica::TableReplica(SourceTable sourceTable, const StateDecoder &stateDecoder) : table(sourceTable), decoder(stateDecoder)
@@ -55,47 +58,61 @@
 }
 
 /// Begins the time in which rows of the new era may be older than those of the replica.
-void TableReplica::beginEra(MonotonicTime now)
+void TableReplica::beginEra(StoreVersion version, MonotonicTime now)
 {
+    this->eraBegin = version;
     this->rewrittenBy = now + RewriteTime;
     this->withheldUntil = now + EntryLifetime;
-    this->withheld.clear();
 }
 
 /// Returns whether \p offered is from before the removal of a row in an earlier era.
 bool TableReplica::isWithheld(const std::string &key, const ReplicatedRow &offered, MonotonicTime now) const
 {
-    const auto erased = this->erasedRows.find(key);
-    if (now >= this->withheldUntil || erased == this->erasedRows.end() || erased->second.row.version.era >= offered.version.era) {
+    const auto found = this->erasedRows.find(key);
+    if (now >= this->withheldUntil || found == this->erasedRows.end()) {
+        return false;
+    }
+    const auto &erased = found->second.row;
+    if (erased.version.era >= offered.version.era) {
         return false;
     }
-    return std::is_lteq(this->decoder.compareValues(this->table, key, offered.value, erased->second.row.value));
+    const auto order = this->decoder.compareValues(this->table, key, offered.value, erased.value);
+    const bool isSameChange = offered.version.number == erased.version.number && offered.value == erased.value;
+    return std::is_lteq(order) || (order == std::partial_ordering::unordered && isSameChange);
+}
+
+/// Returns whether a row of an earlier era was written later than \p offered, which is from the copy of the store or from its writer on the
+/// way to the newest value.
+bool TableReplica::staysInForce(const std::string &key, const ReplicatedRow &held, const ReplicatedRow &offered, MonotonicTime now) const
+{
+    const bool isRewriting = offered.version <= this->eraBegin || now < this->withheldUntil;
+    return held.version.era != offered.version.era && isRewriting
+        && std::is_gt(this->decoder.compareValues(this->table, key, held.value, offered.value));
 }
 
-/// Adds a row of a full table, which may be older than the replica after a return of the store.
+/// Adds a row that may be older than the replica after a return of the store.
 bool TableReplica::upsertOfTable(const std::string &key, ReplicatedRow offered, MonotonicTime now)
 {
     if (!this->currentRows.contains(key) && this->isWithheld(key, offered, now)) {
         this->withheld[key] = std::move(offered);
         return false;
     }
-    return this->upsert(key, std::move(offered));
+    return this->upsert(key, std::move(offered), now);
 }
 
-bool TableReplica::upsert(const std::string &key, ReplicatedRow offered)
+bool TableReplica::upsert(const std::string &key, ReplicatedRow offered, MonotonicTime now)
 {
     const auto [found, isNew] = this->currentRows.try_emplace(key);
     auto &row = found->second;
     if (!isNew) {
-        const bool isOtherEra = row.version.era != offered.version.era;
-        const bool isNewer = isOtherEra && std::is_gt(this->decoder.compareValues(this->table, key, row.value, offered.value));
-        if (isNewer) {
-            this->unconfirmed.erase(key);
+        if (row.version >= offered.version) {
+            return false;
         }
-        if (row.version >= offered.version || isNewer) {
+        if (this->staysInForce(key, row, offered, now)) {
+            this->unconfirmed.erase(key);
             return false;
         }
-        if (isOtherEra && row.value == offered.value) {
+        if (row.version.era != offered.version.era && row.value == offered.value) {
             offered.receivedAt = row.receivedAt;
         }
     }
@@ -144,6 +161,9 @@
     for (const auto &key : obsoleteKeys) {
         this->eraseRow(key, now);
     }
+    std::erase_if(this->withheld, [&keys](const auto &row) {
+        return !keys.contains(row.first);
+    });
     return !obsoleteKeys.empty();
 }
 
@@ -155,7 +175,7 @@
         return false;
     }
     if (version.era != this->watchPosition.era) {
-        this->beginEra(now);
+        this->beginEra(version, now);
     }
     std::set<std::string> keys;
     for (const auto &row : batch.rows) {
@@ -184,7 +204,7 @@
             continue;
         }
         if (!row.isRemoved) {
-            hasChanged = this->upsert(row.key, {row.value, rowVersion, now}) || hasChanged;
+            hasChanged = this->upsert(row.key, {row.value, rowVersion, now}, now) || hasChanged;
             continue;
         }
         const auto found = this->currentRows.find(row.key);
@@ -202,6 +222,21 @@
     return hasChanged;
 }
 
+/// Holds back the rows that the peer holds back.
+void TableReplica::withhold(const wire::ReplicaAnswer &response, MonotonicTime now)
+{
+    if (response.withheld.empty()) {
+        return;
+    }
+    const auto remaining = std::chrono::milliseconds(std::max(0, response.withheldMs));
+    this->withheldUntil = std::max(this->withheldUntil, now + std::min<Duration>(remaining, EntryLifetime));
+    for (const auto &key : response.withheld) {
+        this->eraseRow(key, now);
+        // The row follows unless this replica holds it back already.
+        this->withheld.try_emplace(key);
+    }
+}
+
 bool TableReplica::applyPeerResponse(const wire::ReplicaAnswer &response, MonotonicTime now)
 {
     this->removed.clear();
@@ -214,8 +249,9 @@
         return false;
     }
     if (isOtherEra) {
-        this->beginEra(now);
+        this->beginEra(version, now);
     }
+    this->withhold(response, now);
     bool hasChanged = false;
     for (const auto &key : response.removed) {
         this->recordRemoval(key, version);
@@ -224,9 +260,11 @@
     for (const auto &row : response.rows) {
         const auto receivedAt = now - std::min(MaxRowAge, std::chrono::milliseconds(std::max<std::int64_t>(0, row.ageMs)));
         ReplicatedRow offered{row.value, toStoreVersion(row.era, row.version), receivedAt};
-        const bool isChanged
-            = isOtherEra ? this->upsertOfTable(row.key, std::move(offered), now) : this->upsert(row.key, std::move(offered));
-        hasChanged = isChanged || hasChanged;
+        if (this->withheld.contains(row.key)) {
+            this->withheld[row.key] = std::move(offered);
+        } else if (offered.version <= version) {
+            hasChanged = this->upsertOfTable(row.key, std::move(offered), now) || hasChanged;
+        }
     }
     if (response.__isset.keys) {
         hasChanged = this->eraseAllExcept({response.keys.begin(), response.keys.end()}, version.era, now) || hasChanged;
@@ -248,7 +286,7 @@
     }
     if (now >= this->withheldUntil) {
         for (auto &[key, row] : std::exchange(this->withheld, {})) {
-            hasChanged = this->upsert(key, std::move(row)) || hasChanged;
+            hasChanged = (row.version.number > 0 && this->upsert(key, std::move(row), now)) || hasChanged;
         }
     }
     return hasChanged;
@@ -291,7 +329,11 @@
     }
     for (const auto &[key, row] : this->withheld) {
         addRow(key, row);
+        response.withheld.push_back(key);
     }
+    response.__isset.withheld = !response.withheld.empty();
+    response.withheldMs
+        = static_cast<std::int32_t>(std::max<Duration>(Duration(0), this->withheldUntil - now) / std::chrono::milliseconds(1));
     return response;
 }
 
--- a/packages/gateway/lib/tablereplica.h
+++ b/packages/gateway/lib/tablereplica.h
@@ -15,8 +15,8 @@
 /// A replica of one table of the store, updated by the store or by a peer with a newer replica.
 ///
 /// When the store returns from an older copy, its rows of the new era may be older than those of the replica, until their writers have
-/// written them again. A row stays as it is while the store has an older value of it; a row that the store lacks stays for
-/// RewriteTime, and one that was removed before stays removed for EntryLifetime. Thread safety: one thread.
+/// written them again. A row stays as it is while the store has an older value of it, unless that was written long after the return; a row
+/// that the store lacks stays for RewriteTime, and one that was removed before stays removed for EntryLifetime. Thread safety: one thread.
 class TableReplica
 {
 public:
@@ -87,10 +87,12 @@
     void recordChange(StoreVersion version);
     void recordRemoval(const std::string &key, StoreVersion version);
     void forgetRemovals(StoreVersion version);
-    void beginEra(MonotonicTime now);
+    void beginEra(StoreVersion version, MonotonicTime now);
+    bool staysInForce(const std::string &key, const ReplicatedRow &held, const ReplicatedRow &offered, MonotonicTime now) const;
     bool isWithheld(const std::string &key, const ReplicatedRow &offered, MonotonicTime now) const;
     bool upsertOfTable(const std::string &key, ReplicatedRow offered, MonotonicTime now);
-    bool upsert(const std::string &key, ReplicatedRow offered);
+    bool upsert(const std::string &key, ReplicatedRow offered, MonotonicTime now);
+    void withhold(const wire::ReplicaAnswer &response, MonotonicTime now);
     bool eraseRow(const std::string &key, MonotonicTime now);
     bool eraseAllExcept(const std::set<std::string> &keys, StoreEra era, MonotonicTime now);
 
@@ -112,6 +114,8 @@
     /// Rows that the store still lists since its return although they were removed before; they count from withheldUntil on.
     ReplicatedRows withheld;
     MonotonicTime withheldUntil{};
+    /// The position at the first read of the current era; later rows are from after the return of the store.
+    StoreVersion eraBegin;
 };
 
 } // namespace rhubarbtiller::gateway
--- a/packages/gateway/unittests/tablereplicatest.cpp
+++ b/packages/gateway/unittests/tablereplicatest.cpp
@@ -303,3 +303,129 @@
     CHECK(behind.rows().contains("c"));
     CHECK(behind.rows().contains("d"));
 }
+
+// Guards against a row that stays for ever because a read of the whole table does not clear it from the rows that are held back.
+TEST_CASE("an entry that the store has removed comes back when the time to hold it back ends")
+{
+    testing::VirtualClock clock;
+    TableReplica replica(SourceTable::Servers, decoder);
+    replica.replace(batch(20, {{"a", "ready", 3, false}, {"b", "ready", 4, false}}), clock.now());
+    replica.apply(batch(22, {{"b", "", 22, true}}), clock.now());
+    replica.replace(returned(9, {{"a", "ready", 3, false}, {"b", "ready", 4, false}}), clock.now());
+    REQUIRE_FALSE(replica.rows().contains("b"));
+    clock.advance(5s);
+    SUBCASE("after the host has read the table again")
+    {
+        replica.replace(returned(40, {{"a", "ready", 12, false}}), clock.now());
+    }
+    SUBCASE("after the host has pulled all keys from a peer")
+    {
+        TableReplica peer(SourceTable::Servers, decoder);
+        peer.replace(returned(40, {{"a", "ready", 12, false}}), clock.now());
+        replica.applyPeerResponse(peer.changesSince(replica.version(), clock.now()), clock.now());
+    }
+    CHECK_FALSE(replica.rows().contains("b"));
+    clock.advance(TableReplica::EntryLifetime);
+    replica.settle(clock.now());
+    CHECK_FALSE(replica.rows().contains("b"));
+}
+
+// Guards against a server that has left being used by a host that cannot know it, although the peer that it pulls from does.
+TEST_CASE("a host uses an entry that its peer holds back")
+{
+    testing::VirtualClock clock;
+    TableReplica peer(SourceTable::Servers, decoder);
+    peer.replace(batch(20, {{"a", "ready", 3, false}, {"b", "ready", 4, false}}), clock.now());
+    TableReplica replica(SourceTable::Servers, decoder);
+    SUBCASE("after it has started during the return of the store")
+    {
+    }
+    SUBCASE("after it has missed the removal")
+    {
+        replica.replace(batch(20, {{"a", "ready", 3, false}, {"b", "ready", 4, false}}), clock.now());
+    }
+    peer.apply(batch(22, {{"b", "", 22, true}}), clock.now());
+    peer.replace(returned(9, {{"a", "ready", 3, false}, {"b", "ready", 4, false}}), clock.now());
+    REQUIRE_FALSE(peer.rows().contains("b"));
+    replica.applyPeerResponse(peer.changesSince(replica.version(), clock.now()), clock.now());
+    CHECK(replica.rows().contains("a"));
+    CHECK_FALSE(replica.rows().contains("b"));
+}
+
+// Guards against a configuration of the store that hosts with memory ignore for ever and hosts without it follow.
+TEST_CASE("a configuration that is written long after the return of the store is not in force")
+{
+    testing::VirtualClock clock;
+    TableReplica replica(SourceTable::Configuration, decoder);
+    replica.replace(batch(20, {{"config", "9", 18, false}}), clock.now());
+    replica.replace(returned(9, {{"config", "7", 3, false}}), clock.now());
+    CHECK(replica.rows().at("config").value == "9");
+    clock.advance(60s);
+    replica.settle(clock.now());
+    replica.apply(returned(500, {{"config", "8", 500, false}}), clock.now());
+    CHECK(replica.rows().at("config").value == "8");
+}
+
+// Guards against a replica that ignores the store for ever after one malformed message.
+TEST_CASE("a negative version of a peer stops a replica from following the store")
+{
+    testing::VirtualClock clock;
+    TableReplica replica(SourceTable::Servers, decoder);
+    replica.replace(returned(9, {{"a", "ready", 3, false}}), clock.now());
+    wire::ReplicaAnswer response;
+    response.version = 5;
+    response.era = 1;
+    response.__set_keys({"a"});
+    SUBCASE("with its era")
+    {
+        response.era = -1;
+    }
+    SUBCASE("with its number")
+    {
+        response.version = -1;
+    }
+    SUBCASE("with a row beyond the version of the response")
+    {
+        response.version = 10;
+        wire::ReplicaRow row;
+        row.key = "a";
+        row.value = "draining";
+        row.version = 10;
+        row.era = -1;
+        response.rows.push_back(row);
+    }
+    replica.applyPeerResponse(response, clock.now());
+    CHECK(replica.replace(returned(14, {{"a", "ready", 13, false}}), clock.now()));
+    CHECK(replica.rows().at("a").value == "ready");
+}
+
+// Guards against an evacuation or an order that was withdrawn being in force again because the copy lists it.
+TEST_CASE("an order of the operator that was withdrawn comes back with the copy of the store")
+{
+    testing::VirtualClock clock;
+    TableReplica replica(SourceTable::Configuration, decoder);
+    replica.replace(batch(20, {{"config", "9", 3, false}, {"evacuate/a", "{}", 4, false}}), clock.now());
+    replica.apply(batch(22, {{"evacuate/a", "", 22, true}}), clock.now());
+    replica.replace(returned(9, {{"config", "9", 3, false}, {"evacuate/a", "{}", 4, false}}), clock.now());
+    CHECK_FALSE(replica.rows().contains("evacuate/a"));
+}
+
+// Guards against a pull that was requested before the host itself read the table of the new era, and is answered after it.
+TEST_CASE("a host uses an entry that its peer holds back and that it held back itself")
+{
+    testing::VirtualClock clock;
+    TableReplica peer(SourceTable::Servers, decoder);
+    TableReplica replica(SourceTable::Servers, decoder);
+    for (auto *const each : {&peer, &replica}) {
+        each->replace(batch(20, {{"a", "ready", 3, false}, {"b", "ready", 4, false}}), clock.now());
+        each->apply(batch(22, {{"b", "", 22, true}}), clock.now());
+    }
+    const auto requestedAfter = replica.version();
+    replica.replace(returned(9, {{"a", "ready", 3, false}, {"b", "ready", 4, false}}), clock.now());
+    peer.replace(returned(10, {{"a", "ready", 10, false}, {"b", "ready", 4, false}}), clock.now());
+    REQUIRE_FALSE(replica.rows().contains("b"));
+    REQUIRE_FALSE(peer.rows().contains("b"));
+    replica.applyPeerResponse(peer.changesSince(requestedAfter, clock.now()), clock.now());
+    CHECK(replica.rows().at("a").version.number == 10);
+    CHECK_FALSE(replica.rows().contains("b"));
+}
