Read the whole table after a watch from a position of an earlier era

Shown by tests that failed before, found by a review:

- while a watch from a position of the earlier era waited, a pull brought the replica into the later one; the response was applied to it, and changes between the two positions were lost;
- a read that a pull had overtaken delayed the next one like a failed call, for seconds after earlier failures;
- a standby host took a reader of an earlier release, or one that has not seen the return yet, for one that delivers changes, and neither read the store nor pulled.

--- a/packages/gateway/lib/statesync.cpp
+++ b/packages/gateway/lib/statesync.cpp
@@ -178,6 +178,14 @@
     });
 }
 
+/// Returns whether this host can follow the changes that a reader announces: not those of an earlier era, which a host of an earlier
+/// release announces too.
+bool StateSync::deliversChanges(const PeerReplicaStatus &peer) const
+{
+    return peer.configurationVersion.era >= this->configuration.replica.version().era
+        && peer.serversVersion.era >= this->servers.replica.version().era;
+}
+
 bool StateSync::shouldReadStore(MonotonicTime now) const
 {
     const auto position = this->rank.load();
@@ -186,11 +194,11 @@
     }
     // The limit grows with the rank, so that hosts take over one after the other.
     const auto limit = MaxStoreContactAge + TakeoverInterval * std::min(position, MaxTakeoverRank);
-    return std::none_of(this->peersInDomain.begin(), this->peersInDomain.end(), [now, limit](const auto &entry) {
+    return std::none_of(this->peersInDomain.begin(), this->peersInDomain.end(), [this, now, limit](const auto &entry) {
         const auto &[peerStatus, receivedAt] = entry.second;
         const auto silence = now - receivedAt;
-        return peerStatus.storeContactAge && silence < peerStatus.heartbeatInterval * MaxMissedHeartbeats
-            && *peerStatus.storeContactAge + silence < limit;
+        return peerStatus.storeContactAge && this->deliversChanges(peerStatus)
+            && silence < peerStatus.heartbeatInterval * MaxMissedHeartbeats && *peerStatus.storeContactAge + silence < limit;
     });
 }
 
@@ -212,15 +220,15 @@
         return;
     }
     state.hasPendingRead = true;
-    const bool isWhole = state.needsFullRead;
-    const auto handler = [this, &state, isWhole](const Result<SourceBatch> &batch) {
-        this->onBatch(state, isWhole, batch);
+    const auto watchedFrom = state.needsFullRead ? std::nullopt : std::optional(state.replica.position());
+    const auto handler = [this, &state, watchedFrom](const Result<SourceBatch> &batch) {
+        this->onBatch(state, watchedFrom, batch);
     };
-    if (isWhole) {
+    if (!watchedFrom) {
         this->parts.source.read(state.table, handler);
         return;
     }
-    this->parts.source.watch(state.table, state.replica.position().number, WatchTimeout, handler);
+    this->parts.source.watch(state.table, watchedFrom->number, WatchTimeout, handler);
 }
 
 /// Returns whether peers announce a newer version for some time, and none of them is likely to deliver it soon.
@@ -268,7 +276,8 @@
               {"servers_response_age_s", responseAge(this->servers.lastResponseAt, now)}});
 }
 
-void StateSync::onBatch(TableState &state, bool isWhole, const Result<SourceBatch> &batch)
+/// Processes a response to a watch from \p watchedFrom, or to a read of the whole table.
+void StateSync::onBatch(TableState &state, std::optional<StoreVersion> watchedFrom, const Result<SourceBatch> &batch)
 {
     const auto now = this->parts.clock.now();
     state.hasPendingRead = false;
@@ -276,12 +285,12 @@
         this->onStoreFailure(state, batch.error(), now);
         return;
     }
-    if (!this->followsReplica(state, isWhole, batch->storeVersion(), now)) {
+    if (!this->followsReplica(state, watchedFrom, batch->storeVersion(), now)) {
         return;
     }
     this->onStoreResponse(state, now);
     state.consecutiveFailures = 0;
-    const bool hasChanged = isWhole ? state.replica.replace(*batch, now) : state.replica.apply(*batch, now);
+    const bool hasChanged = watchedFrom ? state.replica.apply(*batch, now) : state.replica.replace(*batch, now);
     state.needsFullRead = false;
     this->onProgress(state, now);
     if (hasChanged) {
@@ -293,7 +302,7 @@
 }
 
 /// Returns whether a response of the store can be applied to the replica; plans the next read if not.
-bool StateSync::followsReplica(TableState &state, bool isWhole, StoreVersion version, MonotonicTime now)
+bool StateSync::followsReplica(TableState &state, std::optional<StoreVersion> watchedFrom, StoreVersion version, MonotonicTime now)
 {
     const auto position = state.replica.position();
     if (version.era > position.era) {
@@ -306,25 +315,27 @@
                       {"era_before", position.era.count()},
                       {"position_before", position.number}});
         }
-        if (!isWhole) {
-            // The changes follow a position of the earlier era.
-            state.needsFullRead = true;
-            this->requestChanges(state);
-        }
-        return isWhole;
     }
-    const bool isOlder = isWhole ? version < position : version.era < position.era;
+    if (watchedFrom && version.era > watchedFrom->era) {
+        // The changes follow a position of the earlier era.
+        state.needsFullRead = true;
+        this->requestChanges(state);
+        return false;
+    }
+    const bool isOlder = watchedFrom ? version.era < position.era : version < position;
     if (isOlder && !std::exchange(state.isStoreBehind, true)) {
         logEvent(LogLevel::Warning,
                  "store_version_went_back",
                  {{"table", tableName(state.table)},
-                  {"is_whole_table", isWhole},
+                  {"is_whole_table", !watchedFrom},
                   {"store_version", version.number},
                   {"store_era", version.era.count()},
                   {"position", position.number}});
     }
     if (isOlder) {
-        // A response that the replica ignores is no contact with the store: another host of the domain has to read it.
+        // A response that the replica ignores is no contact with the store: another host of the domain has to read it. The store
+        // responds, so the delay does not grow.
+        state.consecutiveFailures = 0;
         this->delayNextRead(state, now);
     }
     state.isStoreBehind = isOlder;
--- a/packages/gateway/lib/statesync.h
+++ b/packages/gateway/lib/statesync.h
@@ -145,7 +145,8 @@
     void requestChanges(TableState &state);
     void resetRetryDelays();
     bool shouldReadStore(MonotonicTime now) const;
-    void onBatch(TableState &state, bool isWhole, const Result<SourceBatch> &batch);
+    bool deliversChanges(const PeerReplicaStatus &peer) const;
+    void onBatch(TableState &state, std::optional<StoreVersion> watchedFrom, const Result<SourceBatch> &batch);
     void onStoreResponse(TableState &state, MonotonicTime now);
     void onAnnouncedVersion(TableState &state, StoreVersion version, const PeerReplicaStatus &peer, MonotonicTime now);
     void onProgress(TableState &state, MonotonicTime now);
@@ -153,7 +154,7 @@
     bool shouldMakeFirstRead(const TableState &state, MonotonicTime now) const;
     void logReaderRole(bool reads, MonotonicTime now);
     void onStoreFailure(TableState &state, const std::error_code &error, MonotonicTime now);
-    bool followsReplica(TableState &state, bool isWhole, StoreVersion version, MonotonicTime now);
+    bool followsReplica(TableState &state, std::optional<StoreVersion> watchedFrom, StoreVersion version, MonotonicTime now);
     void delayNextRead(TableState &state, MonotonicTime now);
     void settle(TableState &state, MonotonicTime now);
     void pullFromPeers(TableState &state);
--- a/packages/gateway/unittests/statesynctest.cpp
+++ b/packages/gateway/unittests/statesynctest.cpp
@@ -508,3 +508,88 @@
     REQUIRE(fixture.source.pending(SourceTable::Configuration) != nullptr);
     CHECK(fixture.source.pending(SourceTable::Configuration)->isWhole);
 }
+
+// Guards against a host that neither reads the store nor pulls, during an upgrade of a fleet whose store says its era.
+TEST_CASE("a standby host takes a reader of an earlier release, which names no era, for one that delivers changes")
+{
+    SyncFixture fixture;
+    fixture.source.answer(SourceTable::Configuration, SourceBatch{{{"config", "1", 1, false}}, 10, StoreEra(1)});
+    fixture.source.answer(SourceTable::Servers, SourceBatch{{{"s1", "ready", 5, false}}, 10, StoreEra(1)});
+    fixture.sync.setRank(1);
+    wire::ReplicaAnswer answer;
+    answer.version = 20;
+    answer.__set_keys({"config"});
+    wire::ReplicaRow row;
+    row.key = "config";
+    row.value = "2";
+    row.version = 20;
+    answer.rows.push_back(row);
+    fixture.peerAnswer = encodeThrift(answer);
+    fixture.source.calls.clear();
+    for (int i = 0; i < 30; ++i) {
+        fixture.clock.advance(100ms);
+        fixture.sync.onPeerReplicaStatus(fixture.peer(20, 10, 10ms));
+        fixture.settle();
+        fixture.sync.update();
+    }
+    const bool hasChange = fixture.published.read()->catalog->version() == ConfigVersion(2);
+    const bool readsStore = fixture.source.pending(SourceTable::Configuration) != nullptr;
+    CHECK((hasChange || readsStore));
+}
+
+/// Has the fixture pull the servers from a peer that has seen the return of the store.
+static void pullReturnedServers(SyncFixture &fixture, std::int64_t version)
+{
+    wire::ReplicaAnswer answer;
+    answer.version = version;
+    answer.era = 1;
+    answer.__set_keys({"s1"});
+    fixture.peerAnswer = encodeThrift(answer);
+    auto status = fixture.peer(10, static_cast<std::uint64_t>(version), 10ms);
+    status.serversVersion.era = StoreEra(1);
+    fixture.sync.onPeerReplicaStatus(status);
+    fixture.settle();
+    REQUIRE(fixture.sync.replicaStatus().serversVersion == StoreVersion{StoreEra(1), static_cast<std::uint64_t>(version)});
+}
+
+// Guards against changes between the position of a pull and that of a watch from before it, which neither delivers.
+TEST_CASE("a watch from a position of the earlier era is applied to rows of the later one that a peer delivered meanwhile")
+{
+    SyncFixture fixture;
+    fixture.startWith({{"s1", "ready", 5, false}});
+    fixture.clock.advance(1s);
+    fixture.sync.update();
+    REQUIRE(fixture.source.pending(SourceTable::Servers) != nullptr);
+    REQUIRE(fixture.source.pending(SourceTable::Servers)->after == 10);
+    pullReturnedServers(fixture, 6);
+    // The store has given out number 8 for s2 again; the watch waits for changes after number 10.
+    fixture.source.answer(SourceTable::Servers, SourceBatch{{{"s3", "ready", 12, false}}, 12, StoreEra(1)});
+    fixture.clock.advance(1s);
+    fixture.sync.update();
+    const auto *const next = fixture.source.pending(SourceTable::Servers);
+    REQUIRE(next != nullptr);
+    CHECK((next->isWhole || next->after < 8));
+}
+
+// Guards against a reader without a fault that pauses because a peer was faster than its read.
+TEST_CASE("a read of the store that a pull has overtaken delays the next read and is no contact with the store")
+{
+    SyncFixture fixture;
+    fixture.startWith({{"s1", "ready", 5, false}});
+    for (int i = 0; i < 4; ++i) {
+        fixture.clock.advance(2s);
+        fixture.sync.update();
+        REQUIRE(fixture.source.pending(SourceTable::Servers) != nullptr);
+        fixture.source.answer(SourceTable::Servers, make_error_code(SourceError::Unavailable));
+    }
+    fixture.clock.advance(2s);
+    fixture.sync.update();
+    fixture.source.answer(SourceTable::Servers, make_error_code(SourceError::HistoryGone));
+    REQUIRE(fixture.source.pending(SourceTable::Servers) != nullptr);
+    REQUIRE(fixture.source.pending(SourceTable::Servers)->isWhole);
+    pullReturnedServers(fixture, 6);
+    fixture.source.answer(SourceTable::Servers, SourceBatch{{{"s1", "ready", 5, false}}, 5, StoreEra(1)});
+    fixture.clock.advance(350ms);
+    fixture.sync.update();
+    CHECK(fixture.source.pending(SourceTable::Servers) != nullptr);
+}
