Publish rows that a read of the whole table has dropped at the same version

A read at the version of the replica that drops rows which nobody wrote again reported no change, so that they stayed in use until the next one.

--- a/packages/gateway/lib/statesync.cpp
+++ b/packages/gateway/lib/statesync.cpp
@@ -318,6 +318,7 @@
     }
     if (watchedFrom && version.era > watchedFrom->era) {
         // The changes follow a position of the earlier era.
+        state.isStoreBehind = false;
         state.needsFullRead = true;
         this->requestChanges(state);
         return false;
--- a/packages/gateway/lib/tablereplica.cpp
+++ b/packages/gateway/lib/tablereplica.cpp
@@ -182,9 +182,9 @@
         keys.insert(row.key);
         this->upsertOfTable(row.key, {row.value, {batch.era, row.version}, now}, now);
     }
-    this->eraseAllExcept(keys, batch.era, now);
+    const bool hasErased = this->eraseAllExcept(keys, batch.era, now);
     this->watchPosition = version;
-    const bool isNewer = version > this->newestChangeVersion;
+    const bool isNewer = version > this->newestChangeVersion || hasErased;
     this->recordChange(version);
     this->forgetRemovals(version);
     return isNewer;
