Accept a host whose wall clock went back between two starts

Seen in a unit test: a process that starts after its host's wall clock was set back has a lower incarnation than the process before, and its peers ignore its heartbeats for good. They do not count it as alive, drop its compact heartbeats and what these announce, and send it nothing after a minute, when it has expired; it then reads the store on its own and has no peer to pull from if its store link fails.

HostDirectory::onHeartbeat compared incarnations without a limit of time, to drop late heartbeats of an earlier process. These can arrive only while the later process is alive, so a lower incarnation now counts once the higher one is lost. DomainReach starts a new record for any other incarnation. Roll-out reports (Rollout::onReport, RolloutEvidence::merge) still ignore a lower incarnation: they are merged over several hosts.

--- a/packages/balance/lib/domainreach.cpp
+++ b/packages/balance/lib/domainreach.cpp
@@ -56,7 +56,7 @@
     const bool isNew = found == this->peers.end();
     const bool isDelayed = isNew && this->hasLosses(now);
     auto &peer = isNew ? this->peers[record.id] : found->second;
-    const bool isNewProcess = isNew || record.incarnation > peer.incarnation;
+    const bool isNewProcess = isNew || record.incarnation != peer.incarnation;
     if (isNewProcess) {
         const auto countsFrom = isDelayed ? now + NewHostDelay : peer.countsFrom;
         peer = Peer();
--- a/packages/balance/lib/hostdirectory.cpp
+++ b/packages/balance/lib/hostdirectory.cpp
@@ -46,7 +46,8 @@
         return;
     }
     auto &peer = this->hosts[record.id];
-    if (peer.hasHeartbeat && record.incarnation < peer.record.incarnation) {
+    // A late heartbeat of an earlier process; once the later one is silent, the wall clock of the host has gone back before a start.
+    if (peer.hasHeartbeat && record.incarnation < peer.record.incarnation && now < peer.aliveUntil) {
         return;
     }
     peer.record = record;
--- a/packages/balance/unittests/hostdirectorytest.cpp
+++ b/packages/balance/unittests/hostdirectorytest.cpp
@@ -292,3 +292,28 @@
     directory.onHeartbeat(other, clock.now());
     CHECK(directory.servingPeers(clock.now()).empty());
 }
+
+// Guards against hosts that ignore a peer for good: a process started after its machine's wall clock was set back has a lower incarnation
+// than the process before. Its peers did not count it, nor use its announcements in compact heartbeats, and sent it nothing after a minute.
+TEST_CASE("a host whose wall clock went back between two starts stays unknown to its peers")
+{
+    testing::VirtualClock clock;
+    HostDirectory directory(record("own", "a", 30), 2);
+    const auto before = entryRecord("peer", "a", 50);
+    directory.onHeartbeat(before, clock.now());
+    const auto after = entryRecord("peer", "a", 20);
+    // While the process before may still run, this may be a late heartbeat of an even earlier one.
+    directory.onHeartbeat(after, clock.now());
+    CHECK(directory.findByHeartbeat(HostId("peer"), Incarnation(50)) != nullptr);
+    clock.advance(before.heartbeatInterval * MissedHeartbeatLimit);
+    directory.onHeartbeat(after, clock.now());
+    directory.updateEntryRole(clock.now());
+    CHECK(directory.findByHeartbeat(HostId("peer"), Incarnation(20)) != nullptr);
+    CHECK(directory.livePeerCount(clock.now()) == 1);
+    CHECK(directory.ownRank(clock.now()) == 1);
+    for (int i = 0; i < 70; ++i) {
+        clock.advance(1s);
+        directory.onHeartbeat(after, clock.now());
+    }
+    CHECK(directory.knownHosts(clock.now()).size() == 1);
+}
