--- a/tests/soak/processorlimit.cpp
+++ b/tests/soak/processorlimit.cpp
@@ -60,6 +60,7 @@
         }
         if (isOver != budget.isStopped) {
             budget.isStopped = isOver;
+            this->stopCount += isOver ? 1 : 0;
             this->fleet.signal(host, isOver ? SIGSTOP : SIGCONT);
         }
     }
--- a/tests/soak/processorlimit.h
+++ b/tests/soak/processorlimit.h
@@ -3,6 +3,7 @@
 #include "gatewayfleet.h"
 
 #include <chrono>
+#include <cstdint>
 #include <vector>
 
 namespace rhubarbtiller::soak {
@@ -21,6 +22,12 @@
     /// each host.
     void update(const std::vector<bool> &paused);
 
+    /// Returns how often a process was stopped. Precondition: none.
+    std::uint64_t stops() const
+    {
+        return this->stopCount;
+    }
+
 private:
     struct Budget
     {
@@ -34,6 +41,7 @@
     const std::chrono::nanoseconds quota;
     std::chrono::steady_clock::time_point periodEnd{};
     std::vector<Budget> budgets;
+    std::uint64_t stopCount = 0;
 };
 
 } // namespace rhubarbtiller::soak
--- a/tests/soak/replicationtest.cpp
+++ b/tests/soak/replicationtest.cpp
@@ -83,7 +83,9 @@
             addresses.push_back(this->fleet.controlAddress(host));
         }
         this->poller = std::make_unique<StatePoller>(addresses);
-        Callers callers(this->callerWorld, CallerCount, this->random());
+        // Set by hand: more callers than in each run.
+        const char *const callerText = std::getenv("RHUBARBTILLER_SOAK_CALLERS");
+        Callers callers(this->callerWorld, callerText == nullptr ? CallerCount : std::stoi(callerText), this->random());
         this->planChanges(this->beganAt + 500ms);
         this->planFaults(this->beganAt + CalmBefore);
         this->playUntil(this->beganAt + CalmBefore + FaultTime);
@@ -108,6 +110,9 @@
             }
         }
         std::cout << "  calls " << history.calls.size() << ", arrivals " << history.arrivals.size() << std::endl;
+        if (this->limit) {
+            std::cout << "  processes stopped by the limit of processor time " << this->limit->stops() << " times" << std::endl;
+        }
         if (!lines.empty()) {
             this->fleet.keepLogs();
         }
