Drop expired servers on a host that the store refuses while its peers are served

Seen in a unit test: entries that expired in an outage stay in use for 2.2 s after it. If the store then refuses the first host of a failure domain alone, that host keeps them for as long as it is refused, although another host of its domain is in contact with the store and announces the current list: requests go to servers that are gone. Only hosts of higher rank ended the outage when a peer is in contact, since the first host always reads the store itself.

Entries now outlive the 2.2 s only while no host of the domain is in contact with the store.

--- a/packages/gateway/lib/statesync.cpp
+++ b/packages/gateway/lib/statesync.cpp
@@ -162,7 +162,7 @@
     const bool hasExpired = std::any_of(this->expiredServers.begin(), this->expiredServers.end(), [now](const auto &entry) {
         return now >= entry.second.second;
     });
-    if (hasExpired && !this->isStoreUnavailable) {
+    if (hasExpired && !this->mayLackEntries(now)) {
         this->publish();
     }
 }
@@ -178,15 +178,10 @@
     });
 }
 
-bool StateSync::shouldReadStore(MonotonicTime now) const
+/// Returns whether a peer of the failure domain announces a contact with the store that is more recent than \p limit.
+bool StateSync::hasPeerInContact(Duration limit, MonotonicTime now) const
 {
-    const auto position = this->rank.load();
-    if (position == 0) {
-        return true;
-    }
-    // The limit grows with the rank, so that hosts take over one after the other.
-    const auto limit = MaxStoreContactAge + TakeoverInterval * std::min(position, MaxTakeoverRank);
-    return std::none_of(this->peersInDomain.begin(), this->peersInDomain.end(), [now, limit](const auto &entry) {
+    return std::any_of(this->peersInDomain.begin(), this->peersInDomain.end(), [now, limit](const auto &entry) {
         const auto &[peerStatus, receivedAt] = entry.second;
         const auto silence = now - receivedAt;
         return peerStatus.storeContactAge && silence < peerStatus.heartbeatInterval * MaxMissedHeartbeats
@@ -194,6 +189,19 @@
     });
 }
 
+bool StateSync::shouldReadStore(MonotonicTime now) const
+{
+    const auto position = this->rank.load();
+    // The limit grows with the rank, so that hosts take over one after the other.
+    return position == 0 || !this->hasPeerInContact(MaxStoreContactAge + TakeoverInterval * std::min(position, MaxTakeoverRank), now);
+}
+
+/// Returns whether servers may be unable to write entries that have expired: no host of the domain is in contact with the store.
+bool StateSync::mayLackEntries(MonotonicTime now) const
+{
+    return this->isStoreUnavailable && !this->hasPeerInContact(MaxStoreContactAge, now);
+}
+
 void StateSync::requestChanges(TableState &state)
 {
     const auto now = this->parts.clock.now();
@@ -541,8 +549,9 @@
             logEvent(LogLevel::Warning, "server_entry_unreadable", {{"key", key}, {"version", row.version.number}});
         }
     }
-    std::erase_if(this->expiredServers, [this, now](const auto &expired) {
-        return now >= expired.second.second && !this->isStoreUnavailable;
+    const bool retainsAll = this->mayLackEntries(now);
+    std::erase_if(this->expiredServers, [retainsAll, now](const auto &expired) {
+        return !retainsAll && now >= expired.second.second;
     });
     for (const auto &[key, expired] : this->expiredServers) {
         if (auto entry = this->parts.decoder.server(key, expired.first)) {
--- a/packages/gateway/lib/statesync.h
+++ b/packages/gateway/lib/statesync.h
@@ -144,7 +144,9 @@
     void tick();
     void requestChanges(TableState &state);
     void resetRetryDelays();
+    bool hasPeerInContact(Duration limit, MonotonicTime now) const;
     bool shouldReadStore(MonotonicTime now) const;
+    bool mayLackEntries(MonotonicTime now) const;
     void onBatch(TableState &state, bool isWhole, const Result<SourceBatch> &batch);
     void onStoreResponse(TableState &state, MonotonicTime now);
     void onAnnouncedVersion(TableState &state, StoreVersion version, const PeerReplicaStatus &peer, MonotonicTime now);
--- a/packages/gateway/unittests/statesynctest.cpp
+++ b/packages/gateway/unittests/statesynctest.cpp
@@ -166,6 +166,36 @@
     CHECK(fixture.servers() == Names{"s2"});
 }
 
+// Guards against a host that sends requests to servers that are gone for as long as the store refuses it alone: the entries expired during
+// an outage, the store then refuses the first host of the domain, and another one, which it serves, announces the current list.
+TEST_CASE("a host that the store refuses keeps expired servers in use although its peers are served")
+{
+    SyncFixture fixture;
+    fixture.startWith({{"s1", "ready", 5, false}, {"s2", "ready", 6, false}});
+    const auto refuse = [&fixture] {
+        for (int i = 0; i < 2; ++i) {
+            fixture.clock.advance(700ms);
+            fixture.tick();
+            REQUIRE(fixture.source.pending(SourceTable::Servers) != nullptr);
+            fixture.source.answer(SourceTable::Servers, make_error_code(SourceError::Unavailable));
+        }
+    };
+    refuse();
+    fixture.clock.advance(2s);
+    fixture.tick();
+    fixture.source.answer(SourceTable::Servers, SourceBatch{{{"s1", "", 20, true}}, 20});
+    REQUIRE(fixture.servers() == Names{"s2", "s1"});
+    refuse();
+    fixture.clock.advance(2500ms);
+    fixture.tick();
+    // Without a peer in contact the store may still lack what the servers want to write.
+    CHECK(fixture.servers() == Names{"s2", "s1"});
+    fixture.clock.advance(1s);
+    fixture.sync.onPeerReplicaStatus(fixture.peer(10, 20, 10ms));
+    fixture.tick();
+    CHECK(fixture.servers() == Names{"s2"});
+}
+
 TEST_CASE("a host that pulls changes from a peer does not treat removals as expired entries")
 {
     SyncFixture fixture;
