Have the store of odd soak seeds return from an older copy

The return was played only in a test of its own, without other faults. Odd seeds of the soak now copy the store at 5 s and have it return at 8.8 s, after 300 ms without it; the plan takes no random numbers, so that the faults of existing seeds stay. The operator also removes again an evacuation that ended after the copy, which would otherwise have stayed in the store for good.

--- a/tests/soak/backendworld.cpp
+++ b/tests/soak/backendworld.cpp
@@ -398,8 +398,12 @@
     this->perform([this] {
         this->store->returnFrom(*this->storeCopy);
         this->putRow(StoreTable::Configuration, "config", this->configuration);
-        for (const auto &domain : this->evacuated) {
-            this->putRow(StoreTable::Configuration, "evacuate/" + domain, "{}");
+        for (const auto &domain : GatewayFleet::failureDomains()) {
+            if (this->evacuated.contains(domain)) {
+                this->putRow(StoreTable::Configuration, "evacuate/" + domain, "{}");
+            } else {
+                this->removeRow(StoreTable::Configuration, "evacuate/" + domain);
+            }
         }
         for (const auto &place : this->servers) {
             place->hasLostEntry = true;
--- a/tests/soak/soaktest.cpp
+++ b/tests/soak/soaktest.cpp
@@ -33,6 +33,14 @@
 static constexpr std::size_t StoppingCallers = 30;
 static constexpr std::size_t StoppingBody = 3'000'000;
 
+/// When the store of some runs is copied and comes back from the copy; changes of this time are lost and written again.
+static constexpr milliseconds StoreCopyAt{5000};
+static constexpr milliseconds StoreOutageAt{8500};
+static constexpr milliseconds StoreOutageTime{300};
+
+/// The store of each run whose seed is odd returns from a copy.
+static constexpr std::uint64_t SeedsPerStoreReturn = 2;
+
 namespace {
 
 enum class FaultKind {
@@ -87,6 +95,9 @@
         Callers callers(this->callerWorld, CallerCount, this->random());
         this->planFaults();
         this->planStoppingCallers(this->seed);
+        if (this->seed % SeedsPerStoreReturn == 1) {
+            this->planStoreReturn();
+        }
         this->playUntil([this] {
             return this->queue.empty() && this->areAllRunning();
         });
@@ -253,6 +264,36 @@
         });
     }
 
+    /// Has the store come back from an older copy. Takes no random numbers, so that plans of seeds stay.
+    void planStoreReturn()
+    {
+        this->at(StoreCopyAt, [this] {
+            this->say("store is copied");
+            this->backend.copyStore();
+        });
+        this->at(StoreOutageAt, [this] {
+            this->say("store is away");
+            const auto before = this->setStoreOutage(testing::OutageMode::Reset);
+            this->harm(-1, StoreOutageTime, [this, before] {
+                this->say("store returns from the copy");
+                this->backend.returnStoreFromCopy();
+                // A fault of the store that began meanwhile goes on.
+                if (const auto current = this->setStoreOutage(before); current != testing::OutageMode::Reset) {
+                    this->setStoreOutage(current);
+                }
+            });
+        });
+    }
+
+    /// Returns the mode before.
+    testing::OutageMode setStoreOutage(testing::OutageMode mode)
+    {
+        this->backend.perform([&] {
+            mode = std::exchange(this->backend.rowStore().faults.outage, mode);
+        });
+        return mode;
+    }
+
     void say(const std::string &what)
     {
         const auto ms = std::chrono::duration_cast<milliseconds>(steady_clock::now() - this->beganAt).count();
