Close the test's own files in the processes that it starts

Seen: of 44 hosts the last one started had 354 open files, 27 with this change. Asio opens its sockets without close-on-exec, so each process inherited a copy of the sockets of the stand-ins, the links and of other hosts' pollers. A connection that a fault resets stayed open as long as a process held a copy of it, so that resets and ended servers were played as silence, and a limit of open files could not be tested.

--- a/tests/fleet/process.cpp
+++ b/tests/fleet/process.cpp
@@ -24,6 +24,8 @@
     static constexpr int Flags = O_WRONLY | O_CREAT | O_APPEND;
     posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, outputFile.c_str(), Flags, 0600);
     posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, errorFile.c_str(), Flags, 0600);
+    // Asio's sockets would be inherited: a connection that a stand-in resets would stay open as long as a process holds a copy of it.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     // In a group of its own, so that the end of a shell above does not send SIGHUP and SIGCONT to a stopped process.
     posix_spawnattr_t attributes;
     posix_spawnattr_init(&attributes);
