--- a/tests/soak/gatewayfleet.cpp
+++ b/tests/soak/gatewayfleet.cpp
@@ -11,6 +11,7 @@
 #include <iostream>
 #include <stdexcept>
 
+#include <sys/resource.h>
 #include <unistd.h>
 
 namespace rhubarbtiller::soak {
@@ -140,6 +141,11 @@
         std::vector<std::string>{HOST_PROGRAM, "--gateway", "--settings=" + this->settingsFile(host).string()},
         base.string() + ".out",
         base.string() + ".err");
+    if (this->layout.openFiles) {
+        // Set after the start, since the files of this process would count in between.
+        const rlimit lowered{*this->layout.openFiles, *this->layout.openFiles};
+        ::prlimit(own.process->processId(), RLIMIT_NOFILE, &lowered, nullptr);
+    }
 }
 
 void GatewayFleet::signal(int host, int number)
--- a/tests/soak/gatewayfleet.h
+++ b/tests/soak/gatewayfleet.h
@@ -21,6 +21,8 @@
     /// What the settings say of the host; the default of the program if empty.
     std::optional<double> processorCores;
     std::optional<int> memoryMb;
+    /// The open files that a process may have; the limit of the test if empty.
+    std::optional<std::uint64_t> openFiles;
 };
 
 /// The real host programs, each a process with a loopback address and a link to the store of its own.
--- a/tests/soak/replicationtest.cpp
+++ b/tests/soak/replicationtest.cpp
@@ -23,7 +23,7 @@
 using std::chrono::steady_clock;
 
 /// The deployment on which hosts were seen behind.
-static const FleetLayout LargeFleet{{16, 16, 12}, 0.2, 260};
+static const FleetLayout LargeFleet{{16, 16, 12}, 0.2, 260, std::nullopt};
 
 static constexpr milliseconds ReadyBound{20'000};
 static constexpr milliseconds CalmBefore{3500};
@@ -46,7 +46,7 @@
 {
 public:
     explicit ReplicationRun(std::uint64_t runSeed)
-        : random(runSeed), backend(runSeed), fleet(backend.ioContext(), this->storeAddress(), runSeed, LargeFleet)
+        : random(runSeed), backend(runSeed), fleet(backend.ioContext(), this->storeAddress(), runSeed, layoutOf())
     {
         const auto count = static_cast<std::size_t>(this->fleet.hostCount());
         this->pausedUntil.resize(count);
@@ -122,6 +122,16 @@
 private:
     using Action = std::function<void()>;
 
+    static FleetLayout layoutOf()
+    {
+        auto layout = LargeFleet;
+        // Set by hand: the open files that each process may have.
+        if (const char *const files = std::getenv("RHUBARBTILLER_HOST_FILES")) {
+            layout.openFiles = std::stoull(files);
+        }
+        return layout;
+    }
+
     Endpoint storeAddress()
     {
         Endpoint address;
