--- a/packages/gateway/unittests/replicationhistorytest.cpp
+++ b/packages/gateway/unittests/replicationhistorytest.cpp
@@ -113,3 +113,37 @@
     // A few hosts of each domain at each of the three starts, two tables.
     CHECK(result.reads <= 3 * 5 * 2 * 6);
 }
+
+// Guards against hosts that wait out the long delay of standby hosts after an outage of the store while the hosts that read it first remain
+// without it.
+TEST_CASE("a change that is late because the first hosts of all domains stay cut from the store after an outage")
+{
+    using namespace std::chrono_literals;
+    for (const auto kind : {HostFault::CutFromStore, HostFault::RefusedByStore}) {
+        Duration slowest{};
+        std::size_t broken = 0;
+        for (Duration offset{}; offset < 1500ms; offset += 125ms) {
+            ReplicationPlan plan;
+            plan.seed = static_cast<std::uint64_t>(offset / 1ms) + 1;
+            plan.length = 16s;
+            const auto outage = 4s + offset;
+            plan.faults = {{HostFault::RefusedByStore, FaultTarget::AnyHosts, 1, outage, outage + 4500ms},
+                           {kind, FaultTarget::EntryHosts, 1, outage + 4400ms, outage + 10s}};
+            for (Duration at = outage + 4600ms; at < outage + 8s; at += 250ms) {
+                plan.changes.push_back({StoreChange::Configuration, at});
+            }
+            const auto result = simulateReplication(plan);
+            slowest = std::max(slowest, result.slowestChange);
+            broken += result.violations.empty() ? 0 : 1;
+            for (std::size_t i = 0; i < std::min<std::size_t>(result.violations.size(), 2); ++i) {
+                const auto &violation = result.violations[i];
+                std::cout << "offset " << offset / 1ms << ", " << std::chrono::duration<double>(violation.at).count() << " s, "
+                          << violation.host.text() << ": " << violation.description << std::endl;
+            }
+        }
+        std::cout << "outage, then first hosts cut or refused: slowest change " << std::chrono::duration<double>(slowest).count() << " s, "
+                  << broken << " plans broken" << std::endl;
+        CHECK(broken == 0);
+        CHECK(slowest < 2s);
+    }
+}
