--- a/packages/gateway/lib/statesync.h
+++ b/packages/gateway/lib/statesync.h
@@ -144,7 +144,9 @@
     void tick();
     void requestChanges(TableState &state);
     void resetRetryDelays();
+    bool hasPeerInContact(Duration limit, MonotonicTime now) const;
     bool shouldReadStore(MonotonicTime now) const;
+    bool mayLackEntries(MonotonicTime now) const;
     bool deliversChanges(const PeerReplicaStatus &peer) const;
     void onBatch(TableState &state, std::optional<StoreVersion> watchedFrom, const Result<SourceBatch> &batch);
     void onStoreResponse(TableState &state, MonotonicTime now);
--- a/tests/soak/soaktest.cpp
+++ b/tests/soak/soaktest.cpp
@@ -1,6 +1,7 @@
 #include "backendworld.h"
 #include "callers.h"
 #include "gatewayfleet.h"
+#include "seeds.h"
 
 #include "../callerlimits/rawcallers.h"
 
@@ -8,7 +9,6 @@
 
 #include <array>
 #include <csignal>
-#include <cstdlib>
 #include <future>
 #include <iostream>
 #include <random>
@@ -33,6 +33,14 @@
 static constexpr std::size_t StoppingCallers = 30;
 static constexpr std::size_t StoppingBody = 3'000'000;
 
+/// When the store of some runs is copied and comes back from the copy; changes of this time are lost and written again.
+static constexpr milliseconds StoreCopyAt{5000};
+static constexpr milliseconds StoreOutageAt{8500};
+static constexpr milliseconds StoreOutageTime{300};
+
+/// The store of each run whose seed is odd returns from a copy.
+static constexpr std::uint64_t SeedsPerStoreReturn = 2;
+
 namespace {
 
 enum class FaultKind {
@@ -66,6 +74,7 @@
     explicit SoakRun(std::uint64_t runSeed)
         : seed(runSeed), random(runSeed), backend(runSeed), fleet(backend.ioContext(), this->storeAddress(), runSeed)
     {
+        this->expectedEnds.resize(this->hostCount());
         this->callerWorld = this->backend.describe();
         this->callerWorld.directories = this->fleet.directoryAddresses();
         this->callerWorld.hostOf = [this](const std::string &address) {
@@ -86,6 +95,9 @@
         Callers callers(this->callerWorld, CallerCount, this->random());
         this->planFaults();
         this->planStoppingCallers(this->seed);
+        if (this->seed % SeedsPerStoreReturn == 1) {
+            this->planStoreReturn();
+        }
         this->playUntil([this] {
             return this->queue.empty() && this->areAllRunning();
         });
@@ -135,7 +147,7 @@
 
     bool areAllReady()
     {
-        for (int host = 0; host < GatewayFleet::HostCount; ++host) {
+        for (int host = 0; host < this->fleet.hostCount(); ++host) {
             if (!this->fleet.isReady(host)) {
                 return false;
             }
@@ -145,7 +157,7 @@
 
     bool areAllRunning()
     {
-        for (int host = 0; host < GatewayFleet::HostCount; ++host) {
+        for (int host = 0; host < this->fleet.hostCount(); ++host) {
             if (this->expectedEnds[static_cast<std::size_t>(host)] || this->fleet.exitCode(host)) {
                 return false;
             }
@@ -167,7 +179,7 @@
 
     void restartEndedHosts()
     {
-        for (int host = 0; host < GatewayFleet::HostCount; ++host) {
+        for (int host = 0; host < this->fleet.hostCount(); ++host) {
             auto &expected = this->expectedEnds[static_cast<std::size_t>(host)];
             const auto code = this->fleet.exitCode(host);
             if (!code) {
@@ -206,9 +218,14 @@
         return milliseconds(std::uniform_int_distribution<int>(least, most)(this->random));
     }
 
+    std::uint64_t hostCount() const
+    {
+        return static_cast<std::uint64_t>(this->fleet.hostCount());
+    }
+
     int anyHost()
     {
-        return static_cast<int>(this->random() % GatewayFleet::HostCount);
+        return static_cast<int>(this->random() % this->hostCount());
     }
 
     void planFaults()
@@ -231,7 +248,7 @@
     /// Has callers send most of a large body and leave their connections open. Takes no random numbers, so that plans of seeds stay.
     void planStoppingCallers(std::uint64_t runSeed)
     {
-        const int host = static_cast<int>(runSeed % GatewayFleet::HostCount);
+        const int host = static_cast<int>(runSeed % this->hostCount());
         this->at(StoppingCallersAt, [this, host] {
             this->say("callers of h" + std::to_string(host) + " stop short");
             // On a thread of its own, since a paused host takes no bytes.
@@ -247,6 +264,36 @@
         });
     }
 
+    /// Has the store come back from an older copy. Takes no random numbers, so that plans of seeds stay.
+    void planStoreReturn()
+    {
+        this->at(StoreCopyAt, [this] {
+            this->say("store is copied");
+            this->backend.copyStore();
+        });
+        this->at(StoreOutageAt, [this] {
+            this->say("store is away");
+            const auto before = this->setStoreOutage(testing::OutageMode::Reset);
+            this->harm(-1, StoreOutageTime, [this, before] {
+                this->say("store returns from the copy");
+                this->backend.returnStoreFromCopy();
+                // A fault of the store that began meanwhile goes on.
+                if (const auto current = this->setStoreOutage(before); current != testing::OutageMode::Reset) {
+                    this->setStoreOutage(current);
+                }
+            });
+        });
+    }
+
+    /// Returns the mode before.
+    testing::OutageMode setStoreOutage(testing::OutageMode mode)
+    {
+        this->backend.perform([&] {
+            mode = std::exchange(this->backend.rowStore().faults.outage, mode);
+        });
+        return mode;
+    }
+
     void say(const std::string &what)
     {
         const auto ms = std::chrono::duration_cast<milliseconds>(steady_clock::now() - this->beganAt).count();
@@ -297,7 +344,7 @@
             this->killHost(this->anyHost());
             return;
         case FaultKind::KillAllHosts:
-            for (int host = 0; host < GatewayFleet::HostCount; ++host) {
+            for (int host = 0; host < this->fleet.hostCount(); ++host) {
                 this->killHost(host);
             }
             return;
@@ -305,7 +352,7 @@
             this->stopHost(this->anyHost());
             return;
         case FaultKind::RollingStop:
-            for (int host = 0; host < GatewayFleet::HostCount; ++host) {
+            for (int host = 0; host < this->fleet.hostCount(); ++host) {
                 this->at(1000ms * host, [this, host] {
                     this->stopHost(host);
                 });
@@ -432,7 +479,7 @@
     std::vector<PlannedStop> stops;
     std::vector<std::string> ownLines;
     std::future<void> stoppingCallers;
-    std::array<std::optional<ExpectedEnd>, GatewayFleet::HostCount> expectedEnds;
+    std::vector<std::optional<ExpectedEnd>> expectedEnds;
     const SoakTime beganAt = steady_clock::now();
 };
 
@@ -457,21 +504,7 @@
 
 TEST_CASE("the gateway fleet keeps its promises under random faults")
 {
-    const char *const single = std::getenv("RHUBARBTILLER_SEED");
-    const char *const many = std::getenv("RHUBARBTILLER_SOAK_SEEDS");
-    if (single != nullptr) {
-        soakWith(std::stoull(single));
-        return;
-    }
-    if (many != nullptr) {
-        // "FIRST COUNT"
-        const std::string range(many);
-        const auto first = std::stoull(range);
-        const auto count = std::stoull(range.substr(range.find(' ') + 1));
-        for (std::uint64_t seed = first; seed < first + count; ++seed) {
-            soakWith(seed);
-        }
-        return;
+    for (const auto seed : seedsToPlay(1)) {
+        soakWith(seed);
     }
-    soakWith(1);
 }
