--- a/tests/callerlimits/callerlimitstest.cpp
+++ b/tests/callerlimits/callerlimitstest.cpp
@@ -1,5 +1,4 @@
-#include "limitedhost.h"
-#include "rawcallers.h"
+#include "callerloads.h"
 
 #include "../fleet/httpconnection.h"
 
@@ -15,79 +14,9 @@
 /// The memory of the host, which the process stays within whatever its callers send.
 static constexpr unsigned MemoryMegabytes = 96;
 
-/// The limit of open files, and the number of them that the process stays within. The rest is for connections to backend servers and peers.
-static constexpr unsigned MaxDescriptors = 256;
-static constexpr std::size_t DescriptorBound = 224;
-
 static constexpr std::size_t LargeBody = 6'000'000;
 /// The default limit of the control port and of the address query.
 static constexpr std::size_t SmallBody = 1'000'000;
-/// Callers stop this many bytes before the end of a body.
-static constexpr std::size_t Shortfall = 10;
-static constexpr std::size_t WholePiece = 1'000'000;
-static constexpr std::size_t SmallPiece = 4'000;
-static constexpr std::chrono::seconds AnswerTimeout{20};
-
-static std::string requestHead(const std::string &method, const std::string &target)
-{
-    return method + " " + target + " HTTP/1.1\r\n" + Deployment::requestFields("a-1");
-}
-
-static CallerLoad lengthLoad(std::size_t bodySize)
-{
-    CallerLoad load;
-    load.start = requestHead("POST", "/x") + "Content-Length: " + std::to_string(bodySize) + "\r\n\r\n";
-    load.unit = std::string(1000, 'x');
-    load.repeats = (bodySize - Shortfall) / load.unit.size();
-    load.end = std::string((bodySize - Shortfall) % load.unit.size(), 'x');
-    return load;
-}
-
-static CallerLoad chunkedLoad(std::size_t bodySize, std::size_t chunkSize)
-{
-    char size[20];
-    std::snprintf(size, sizeof(size), "%zx\r\n", chunkSize);
-    CallerLoad load;
-    load.start = requestHead("POST", "/x") + "Transfer-Encoding: chunked\r\n\r\n";
-    load.unit = size + std::string(chunkSize, 'x') + "\r\n";
-    load.repeats = bodySize / chunkSize;
-    return load;
-}
-
-static int ordinaryStatus(const std::string &address, const std::string &target)
-{
-    fleettests::HttpConnection connection(address);
-    return connection.call("GET", target, Deployment::requestFields("ordinary"), "", AnswerTimeout).status;
-}
-
-/// Waits until the host has read what the kernel holds for it: its memory has stopped to grow.
-static void waitUntilRead(const LimitedHost &host)
-{
-    static constexpr std::chrono::milliseconds CalmTime{1500};
-    static constexpr std::chrono::seconds Longest{20};
-    const auto began = std::chrono::steady_clock::now();
-    auto changedAt = began;
-    for (unsigned peak = host.peakMegabytes(); std::chrono::steady_clock::now() < std::min(changedAt + CalmTime, began + Longest);) {
-        std::this_thread::sleep_for(std::chrono::milliseconds(100));
-        if (const unsigned next = host.peakMegabytes(); next != peak) {
-            peak = next;
-            changedAt = std::chrono::steady_clock::now();
-        }
-    }
-}
-
-/// Checks what holds under every load: the process runs within its memory and answers on each port.
-static void checkHost(LimitedHost &host)
-{
-    REQUIRE_MESSAGE(host.isRunning(), "the process has ended");
-    waitUntilRead(host);
-    CHECK_MESSAGE(ordinaryStatus(host.callerAddress(), "/ordinary") != 0, "no response to an ordinary caller");
-    CHECK_MESSAGE(ordinaryStatus(host.controlAddress(), "/metrics") == 200, "no response on the control port");
-    CHECK_MESSAGE(ordinaryStatus(host.directoryAddress(), "/x") != 0, "no response to an address query");
-    REQUIRE_MESSAGE(host.isRunning(), "the process has ended");
-    MESSAGE("peak of resident memory: ", host.peakMegabytes(), " MB, open descriptors: ", host.openDescriptors());
-    CHECK(host.peakMegabytes() <= MemoryMegabytes);
-}
 
 // Guards against a process that runs out of memory because callers send large bodies at once and stop just short of the end.
 TEST_CASE("bodies with a Content-Length that stop short stay within the memory of the host")
@@ -103,7 +32,7 @@
     {
         callers.send(lengthLoad(LargeBody), SmallPiece);
     }
-    checkHost(host);
+    checkHost(host, MemoryMegabytes);
 }
 
 // Guards against bodies without an announced length that no limit counts while they are read.
@@ -121,7 +50,7 @@
     {
         callers.send(chunkedLoad(LargeBody, ChunkSize), SmallPiece);
     }
-    checkHost(host);
+    checkHost(host, MemoryMegabytes);
 }
 
 // Guards against records by chunk, which need many times the memory of a chunk of one byte.
@@ -131,7 +60,7 @@
     LimitedHost host({MemoryMegabytes, 0, ""});
     RawCallers callers(host.callerAddress(), Callers);
     callers.send(chunkedLoad(SmallBody, 1), WholePiece);
-    checkHost(host);
+    checkHost(host, MemoryMegabytes);
 }
 
 // Guards against headers that no limit counts together.
@@ -146,7 +75,7 @@
     load.unit = "Long: " + std::string(1000, 'x') + "\r\n";
     load.repeats = Fields;
     callers.send(load, WholePiece);
-    checkHost(host);
+    checkHost(host, MemoryMegabytes);
 }
 
 // Guards against bodies that callers send behind a request that waits for its server, for which no time limit runs.
@@ -159,7 +88,7 @@
     auto load = lengthLoad(LargeBody);
     load.start = requestHead("GET", "/wait/1") + "\r\n" + load.start;
     callers.send(load, WholePiece);
-    checkHost(host);
+    checkHost(host, MemoryMegabytes);
 }
 
 // Guards against whole requests that pile up behind one that waits.
@@ -176,7 +105,7 @@
     load.unit = requestHead("POST", "/wait/2") + "Content-Length: " + std::to_string(BodySize) + "\r\n\r\n" + std::string(BodySize, 'x');
     load.repeats = Requests;
     callers.send(load, WholePiece);
-    checkHost(host);
+    checkHost(host, MemoryMegabytes);
 }
 
 // Guards against responses that pile up for callers that never read.
@@ -191,7 +120,7 @@
     load.unit = requestHead("GET", "/large") + "\r\n";
     load.repeats = Requests;
     callers.send(load, WholePiece);
-    checkHost(host);
+    checkHost(host, MemoryMegabytes);
 }
 
 // Guards against ports for hosts and operators that have limits of their own, which no limit of callers covers.
@@ -211,7 +140,7 @@
         control.send(chunkedLoad(SmallBody / 10, 1), WholePiece);
         directory.send(chunkedLoad(SmallBody / 10, 1), WholePiece);
     }
-    checkHost(host);
+    checkHost(host, MemoryMegabytes);
 }
 
 // Guards against limits that refuse ordinary uploads: 100 of the largest size at once on the smallest host.
@@ -261,7 +190,7 @@
     // A host that accepts connections in turn has the time to do so; a slower one has fewer open.
     std::this_thread::sleep_for(std::chrono::seconds(1));
     CHECK(host.openDescriptors() <= DescriptorBound);
-    checkHost(host);
+    checkHost(host, MemoryMegabytes);
     CHECK(host.openDescriptors() <= DescriptorBound);
 }
 
--- a/tests/callerlimits/limitedhost.cpp
+++ b/tests/callerlimits/limitedhost.cpp
@@ -28,9 +28,9 @@
     return ip + ":" + std::to_string(port);
 }
 
-Deployment::Deployment() : work(asio::make_work_guard(this->context))
+Deployment::Deployment(std::size_t serverCount) : work(asio::make_work_guard(this->context))
 {
-    this->start();
+    this->start(serverCount);
     this->thread = std::thread([this] {
         this->context.run();
     });
@@ -43,21 +43,11 @@
     this->thread.join();
 }
 
-void Deployment::start()
+void Deployment::start(std::size_t serverCount)
 {
     this->store = std::make_unique<testing::RowStoreStandin>(this->context);
     this->store->start(Endpoint("127.0.0.1:0"));
     this->storeText = this->store->boundAddress().text();
-    this->server = std::make_unique<testing::RawHttpServer>(
-        this->context, [this](const http::HttpRequest &request, const std::shared_ptr<testing::RawConnection> &connection) {
-            if (request.target.starts_with("/wait/")) {
-                this->held.push_back(connection);
-                return;
-            }
-            const std::string id(http::findHeader(request.headers, "Attempt-Id"));
-            connection->respond({200, {{"Attempt-Id", id}, {"Server-Seal", "proof"}}, std::string(LargeBodySize, 'x')});
-        });
-    this->server->start(Endpoint("127.0.0.1:0"));
     const auto entry = [](const char *kind, const std::string &name, json spec) {
         return json{{"resource_type", kind}, {"meta", {{"name", name}}}, {"spec", std::move(spec)}};
     };
@@ -72,10 +62,27 @@
                                 {"public", true}}),
                          entry("services", "app", {{"max_conns", 2000}})};
     this->store->put("op", "config", json{{"version", 1}, {"resources", resources}}.dump());
+    for (std::size_t i = 1; i <= serverCount; ++i) {
+        this->addServer(i);
+    }
+}
+
+void Deployment::addServer(std::size_t number)
+{
+    auto server = std::make_unique<testing::RawHttpServer>(
+        this->context, [this](const http::HttpRequest &request, const std::shared_ptr<testing::RawConnection> &connection) {
+            if (request.target.starts_with("/wait/")) {
+                this->held.push_back(connection);
+                return;
+            }
+            const std::string id(http::findHeader(request.headers, "Attempt-Id"));
+            connection->respond({200, {{"Attempt-Id", id}, {"Server-Seal", "proof"}}, std::string(LargeBodySize, 'x')});
+        });
+    server->start(Endpoint("127.0.0.1:0"));
     this->store->put("servers",
-                     "app-1",
+                     "app-" + std::to_string(number),
                      json{{"service", "app"},
-                          {"addr", this->server->boundAddress().text()},
+                          {"addr", server->boundAddress().text()},
                           {"zone", "east"},
                           {"version", "1.0"},
                           {"capacity", 1000},
@@ -84,6 +91,7 @@
                           {"seq", 1},
                           {"born", 1'700'000'000'000}}
                          .dump());
+    this->servers.push_back(std::move(server));
 }
 
 std::string Deployment::requestFields(const std::string &requestId)
--- a/tests/callerlimits/limitedhost.h
+++ b/tests/callerlimits/limitedhost.h
@@ -15,16 +15,17 @@
 
 namespace rhubarbtiller::callerlimits {
 
-/// A store with one public route and one backend server, on a thread of their own.
+/// A store with one public route and its backend servers, on a thread of their own.
 ///
-/// The server holds requests below "/wait/" without a response, and answers others with a body of LargeBodySize. Thread safety: one thread.
+/// The servers hold requests below "/wait/" without a response, and answer others with a body of LargeBodySize. Thread safety: one thread.
 class Deployment
 {
 public:
     static constexpr std::size_t LargeBodySize = 300'000;
     static constexpr const char *VirtualHost = "limits.example";
 
-    Deployment();
+    /// Precondition: \p serverCount is above 0.
+    explicit Deployment(std::size_t serverCount = 1);
     ~Deployment();
     Deployment(const Deployment &) = delete;
     Deployment &operator=(const Deployment &) = delete;
@@ -36,12 +37,13 @@
     std::string storeAddress() const;
 
 private:
-    void start();
+    void start(std::size_t serverCount);
+    void addServer(std::size_t number);
 
     asio::io_context context{1};
     asio::executor_work_guard<asio::io_context::executor_type> work;
     std::unique_ptr<testing::RowStoreStandin> store;
-    std::unique_ptr<testing::RawHttpServer> server;
+    std::vector<std::unique_ptr<testing::RawHttpServer>> servers;
     std::vector<std::shared_ptr<testing::RawConnection>> held;
     std::string storeText;
     std::thread thread;
