Keep one copy of a request body, and count it until its memory is free

Cause: RESTinio collected the body, the server copied it out of RESTinio's request, each attempt copied it with the message and once more into the text for the server, and the connection to the server kept that text while it was idle. The account of callers counted one of the copies, and only until the response.

Change: the framing check collects the body itself and hands RESTinio the header alone, so that no copy comes out of RESTinio. http::Body shares its bytes between copies of a message; an attempt writes its own header and the shared body with one gather write, and only that write keeps them. The charge of a request ends when the last owner of its body is gone. The body grows to its expected size at a quarter of it, since doubling would hold old and new block at once. Large requests that servers work on can no longer be ended, so requests of up to 1 MiB have a quarter of the limit that larger ones cannot use up.

--- a/packages/gateway/lib/backendclient.cpp
+++ b/packages/gateway/lib/backendclient.cpp
@@ -30,7 +30,8 @@
 /// Limit of idle connections per server.
 static constexpr std::size_t MaxIdlePerServer = 8;
 
-static std::string serialize(const http::HttpRequest &message)
+/// Returns the header of a request with its framing.
+static std::string formatHeader(const http::HttpRequest &message)
 {
     std::string text = message.method + " " + message.target + " HTTP/1.1\r\n";
     for (const auto &header : message.headers) {
@@ -40,13 +41,20 @@
     if (hasBody) {
         text += "Content-Length: " + std::to_string(message.body.size()) + "\r\n";
     }
-    return text + "\r\n" + message.body;
+    return text + "\r\n";
 }
 
 namespace {
 
 class Client;
 
+/// The bytes of a request on its way to a server.
+struct OutgoingRequest
+{
+    std::string header;
+    http::Body body;
+};
+
 /// One connection to one server; serves one request at a time.
 class Connection : public std::enable_shared_from_this<Connection>
 {
@@ -56,7 +64,7 @@
     {
     }
 
-    void start(const RequestId &request, std::string text, bool isHeadRequest, BackendClient::Handler receiver);
+    void start(const RequestId &request, OutgoingRequest text, bool isHeadRequest, BackendClient::Handler receiver);
     void watchIdle();
     void close();
     void cancel();
@@ -102,7 +110,8 @@
     asio::ip::tcp::socket socket;
     asio::steady_timer connectTimer;
     RequestId id;
-    std::string outgoing;
+    /// The request until it is being written.
+    std::shared_ptr<const OutgoingRequest> outgoing;
     bool isHead = false;
     ByteCount maxBody{0};
     BackendClient::Handler handler;
@@ -234,7 +243,8 @@
             connection = std::make_shared<Connection>(this->context, this->weak_from_this(), call.server, call.address);
             ++this->opened;
         }
-        connection->start(call.id, serialize(call.message), call.message.method == "HEAD", std::move(handler));
+        connection->start(
+            call.id, {formatHeader(call.message), std::move(call.message.body)}, call.message.method == "HEAD", std::move(handler));
         return std::make_shared<Attempt>(connection);
     }
 
@@ -397,10 +407,10 @@
 
 } // namespace
 
-void Connection::start(const RequestId &request, std::string text, bool isHeadRequest, BackendClient::Handler receiver)
+void Connection::start(const RequestId &request, OutgoingRequest text, bool isHeadRequest, BackendClient::Handler receiver)
 {
     this->id = request;
-    this->outgoing = std::move(text);
+    this->outgoing = std::make_shared<const OutgoingRequest>(std::move(text));
     this->isHead = isHeadRequest;
     this->handler = std::move(receiver);
     this->isSent = false;
@@ -451,10 +461,14 @@
 void Connection::write()
 {
     this->isSent = true;
-    asio::async_write(this->socket, asio::buffer(this->outgoing), [self = this->shared_from_this()](std::error_code error, std::size_t) {
-        // The read operation reports the error too, possibly after a response that the server sent early.
-        self->isWritten = !error;
-    });
+    // The operation alone keeps the request, whose memory is free once it has been written or given up.
+    auto request = std::exchange(this->outgoing, nullptr);
+    const std::array<asio::const_buffer, 2> parts{asio::buffer(request->header), asio::buffer(request->body.text())};
+    asio::async_write(
+        this->socket, parts, [self = this->shared_from_this(), request = std::move(request)](std::error_code error, std::size_t) {
+            // The read operation reports the error too, possibly after a response that the server sent early.
+            self->isWritten = !error;
+        });
     if (!this->isReading) {
         this->read();
     }
@@ -621,6 +635,7 @@
         return;
     }
     this->updateBuffered(0);
+    this->outgoing.reset();
     this->connectTimer.cancel();
     std::error_code ignored;
     this->socket.close(ignored);
--- a/packages/gateway/lib/gatewayprocess.cpp
+++ b/packages/gateway/lib/gatewayprocess.cpp
@@ -246,7 +246,7 @@
 }
 
 /// Requests get three eighths, and half together with unread responses; the rest is for responses that are being received, for the
-/// tables and for copies of bodies that are being sent to a server.
+/// tables, and for the small requests that are read although large ones use all of it.
 static http::CallerMemoryLimits callerMemoryLimits(const GatewaySettings &settings)
 {
     static constexpr std::uint64_t RequestEighths = 3;
--- a/packages/gateway/lib/requestflow.cpp
+++ b/packages/gateway/lib/requestflow.cpp
@@ -599,6 +599,7 @@
     this->leaveQueue();
     this->timer.cancel();
     this->cancelAttempts();
+    this->request.message.body = {};
     this->recordOutcome(false);
     this->record("caller_gone", 0);
 }
@@ -696,6 +697,7 @@
     this->leaveQueue();
     this->timer.cancel();
     this->cancelAttempts();
+    this->request.message.body = {};
     this->recordOutcome(outcome == AnsweredOutcome);
     const int status = response.status;
     this->responder->respond(std::move(response));
--- a/packages/gateway/unittests/backendclienttest.cpp
+++ b/packages/gateway/unittests/backendclienttest.cpp
@@ -91,6 +91,47 @@
     CHECK(fixture.client->connectionsOpened() == 1);
 }
 
+// Guards against copies of a large body, and against an idle connection that keeps the body of its last request.
+TEST_CASE("a body is shared with its sender and dropped once it has been written")
+{
+    static constexpr std::size_t BodySize = 3'000'000;
+    std::string arrived;
+    BackendFixture fixture([&arrived](const http::HttpRequest &request, const std::shared_ptr<RawConnection> &connection) {
+        arrived = request.body;
+        connection->respond({200, {{"Id", std::string(findHeader(request.headers, "Id"))}}, "ok"});
+    });
+    auto text = std::make_shared<const std::string>(BodySize, 'x');
+    const std::weak_ptr<const std::string> watched = text;
+    auto call = fixture.call("1");
+    call.message.body = http::Body(std::move(text));
+    const auto second = call;
+    CHECK(fixture.send(std::move(call))->end == AttemptEnd::Answered);
+    CHECK(arrived == std::string(BodySize, 'x'));
+    CHECK_MESSAGE(watched.use_count() == 1, "the idle connection keeps the body");
+    CHECK(second.message.body.size() == BodySize);
+    CHECK(fixture.client->connectionsOpened() == 1);
+}
+
+// Guards against a connection that is given up while it sends, and keeps the body.
+TEST_CASE("a cancelled request drops its body")
+{
+    BackendFixture fixture([](const http::HttpRequest &, const std::shared_ptr<RawConnection> &) {
+    });
+    auto text = std::make_shared<const std::string>(30'000'000, 'x');
+    const std::weak_ptr<const std::string> watched = text;
+    auto call = fixture.call("1");
+    call.message.body = http::Body(std::move(text));
+    const auto attempt = fixture.client->send(std::move(call), [](const AttemptOutcome &) {
+    });
+    while (!attempt->wasSent()) {
+        fixture.context.run_one_for(20ms);
+    }
+    CHECK_FALSE(watched.expired());
+    attempt->cancel();
+    fixture.context.poll();
+    CHECK(watched.expired());
+}
+
 TEST_CASE("a late response to an earlier request is discarded")
 {
     BackendFixture fixture([](const http::HttpRequest &request, const std::shared_ptr<RawConnection> &connection) {
--- a/packages/host/lib/homeservice.cpp
+++ b/packages/host/lib/homeservice.cpp
@@ -187,7 +187,7 @@
     tablestore::IdempotencyClaim wanted;
     wanted.organisation = work.organisation;
     wanted.keyDigest = sha256Hex(key);
-    wanted.requestDigest = sha256Hex(work.request.method + " " + work.request.target + "\n" + work.request.body);
+    wanted.requestDigest = sha256Hex(work.request.method + " " + work.request.target + "\n" + work.request.body.text());
     wanted.expiry = this->parts.clock.wallNow() + ClaimLifetime;
     wanted.attempt = work.id;
     const auto now = this->parts.clock.now();
--- a/packages/host/lib/requestpipeline.cpp
+++ b/packages/host/lib/requestpipeline.cpp
@@ -103,7 +103,7 @@
         return WorkOutcome::refused(reason, Execution::NotRun, retryAfter);
     };
     // The key goes before anything else can see the request.
-    const auto key = routing::extractKey(request.headers, request.target, request.body);
+    const auto key = routing::extractKey(request.headers, request.target, request.body.text());
     if (key.fault != Reason::None) {
         return refuse(key.fault);
     }
@@ -262,7 +262,7 @@
     if (!view || !leases || !leases->freshness.holds(this->parts.clock.now())) {
         return toResponse(WorkOutcome::refused(Reason::StaleConfiguration, Execution::NotRun, StaleRetryAfter), RequestId("addresses"));
     }
-    const auto key = routing::extractKey(request.headers, request.target, request.body);
+    const auto key = routing::extractKey(request.headers, request.target, request.body.text());
     const auto *const grant = key.digest ? view->snapshot->findKey(*key.digest) : nullptr;
     // Callers without a key use open routes; any host serves them.
     config::Organisation organisation{PublicOrganisation, RequestRate(0), RequestCount(0)};
--- a/packages/host/unittests/callerclient.cpp
+++ b/packages/host/unittests/callerclient.cpp
@@ -79,7 +79,7 @@
     for (const auto &header : request.headers) {
         bytes += header.name + ": " + header.value + "\r\n";
     }
-    bytes += "Content-Length: " + std::to_string(request.body.size()) + "\r\n\r\n" + request.body;
+    bytes += "Content-Length: " + std::to_string(request.body.size()) + "\r\n\r\n" + request.body.text();
     return exchange(server, bytes, isAbandoned);
 }
 
--- a/packages/http/include/rhubarbtiller/http/calleraccount.h
+++ b/packages/http/include/rhubarbtiller/http/calleraccount.h
@@ -61,7 +61,8 @@
     void onRead(LedgerNumber number, ByteCount held, ByteCount received);
     void onRequestRead(LedgerNumber number, ByteCount held);
     void onRequest(LedgerNumber number, ByteCount bytes);
-    void onResponse(LedgerNumber number, ByteCount bytes);
+    void onResponse(LedgerNumber number);
+    void onReleased(ByteCount bytes);
     void chargeUnread(ByteCount bytes);
     void removeUnread(ByteCount bytes);
 
--- a/packages/http/include/rhubarbtiller/http/connectionledger.h
+++ b/packages/http/include/rhubarbtiller/http/connectionledger.h
@@ -16,7 +16,7 @@
 /// The memory that the callers of a process may use together.
 struct CallerMemoryLimits
 {
-    /// Requests that are being read or have no response yet.
+    /// Requests that are being read, or whose memory has not been freed yet.
     ByteCount maxRequests{UINT64_MAX};
     /// Requests, and responses that callers have not read yet.
     ByteCount maxTotal{UINT64_MAX};
@@ -26,7 +26,8 @@
 ///
 /// Addresses the load of many callers that send large bodies, long headers or tiny chunks and stop short of the end: the connections that
 /// hold the most memory for the longest time with the least progress end first. Connections whose requests have all been read are never
-/// chosen for their memory, and those with a request without a response never to make room for others. Thread safety: one thread.
+/// chosen for their memory, and those with a request without a response never to make room for others. Small requests have a share of
+/// the memory that large ones cannot use up. Thread safety: one thread.
 class ConnectionLedger
 {
 public:
@@ -46,7 +47,7 @@
     /// Adds a connection of a group, such as those of one server. Precondition: \p number is not in use.
     void open(LedgerNumber number, std::uint32_t group, MonotonicTime now);
 
-    /// Removes a connection; its whole requests stay charged until onResponse(). Precondition: none.
+    /// Removes a connection; its whole requests stay charged until onReleased(). Precondition: none.
     void close(LedgerNumber number);
 
     /// Notes \p received bytes of a request that is being read and now uses \p held bytes. Precondition: the connection is open.
@@ -55,11 +56,14 @@
     /// Notes that no request is being read any more, or the next one has begun with \p held bytes. Precondition: the connection is open.
     void onRequestRead(LedgerNumber number, ByteCount held, MonotonicTime now);
 
-    /// Charges a whole request of \p bytes until onResponse(), also when the connection closes before. Precondition: none.
+    /// Charges a whole request of \p bytes until onReleased(), also when the connection closes before. Precondition: none.
     void onRequest(LedgerNumber number, ByteCount bytes);
 
-    /// Removes the charge of a whole request. Precondition: charged before; the connection may be closed already.
-    void onResponse(LedgerNumber number, ByteCount bytes, MonotonicTime now);
+    /// Notes the response to a whole request. Precondition: none; the connection may be closed already.
+    void onResponse(LedgerNumber number, MonotonicTime now);
+
+    /// Removes the charge of a whole request whose memory is free. Precondition: \p bytes were charged by one call.
+    void onReleased(ByteCount bytes);
 
     /// Charges or removes bytes of responses that the caller has not read yet. Precondition: removed bytes were charged before.
     void chargeUnread(ByteCount bytes);
@@ -80,12 +84,15 @@
     /// Returns the memory that is charged, without connections that end at once. Precondition: none.
     ByteCount chargedBytes() const
     {
-        return ByteCount(this->reading + this->whole + this->unread);
+        return ByteCount(this->small.total() + this->large.total() + this->unread);
     }
 
     /// A caller whose newest bytes are younger may still be sending.
     static constexpr std::chrono::seconds MinReplacedIdleTime{1};
 
+    /// Requests up to this size are small.
+    static constexpr ByteCount MaxSmallRequest{1024 * 1024};
+
 private:
     struct Entry
     {
@@ -100,15 +107,38 @@
         double rate = 0;
     };
 
+    /// Sums over the connections that do not end at once.
+    struct Sums
+    {
+        std::uint64_t reading = 0;
+        std::uint64_t whole = 0;
+
+        std::uint64_t total() const
+        {
+            return this->reading + this->whole;
+        }
+    };
+
+    /// Bytes above the limits: the larger of the two excesses.
+    struct Excess
+    {
+        /// Of all requests, and of these with unread responses.
+        std::uint64_t all = 0;
+        /// The same with no more of the large requests than their share.
+        std::uint64_t small = 0;
+    };
+
     static double costOf(const Entry &entry, MonotonicTime now);
+    Sums &sumsOf(std::uint64_t bytes);
     void setHeld(Entry &entry, std::uint64_t held);
-    std::uint64_t excessOver(std::uint64_t requestLimit, std::uint64_t totalLimit) const;
+    Excess excessOver(std::uint64_t requestLimit, std::uint64_t totalLimit) const;
+    Excess currentExcess() const;
+    bool isAloneAllowed(const Entry &entry) const;
 
     const CallerMemoryLimits limits;
     std::unordered_map<LedgerNumber, Entry> entries;
-    /// Sums over the connections that do not end at once.
-    std::uint64_t reading = 0;
-    std::uint64_t whole = 0;
+    Sums small;
+    Sums large;
     std::uint64_t unread = 0;
 };
 
--- a/packages/http/include/rhubarbtiller/http/httpmessage.h
+++ b/packages/http/include/rhubarbtiller/http/httpmessage.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <rhubarbtiller/base/header.h>
+#include <rhubarbtiller/http/body.h>
 
 #include <string>
 
@@ -18,7 +19,7 @@
     /// Path and query, as on the request line.
     std::string target;
     Headers headers;
-    std::string body;
+    Body body;
 };
 
 struct HttpResponse
--- a/packages/http/include/rhubarbtiller/http/httpserver.h
+++ b/packages/http/include/rhubarbtiller/http/httpserver.h
@@ -41,6 +41,9 @@
     virtual ~RequestHandler() = default;
 
     /// Takes a request; answers through \p responder, at once or later. Thread safety: called from several threads.
+    ///
+    /// The headers lack those that announce the body. The memory of the request counts as used until \p responder has responded and no
+    /// copy of the body is left.
     virtual void onRequest(HttpRequest request, std::shared_ptr<Responder> responder) = 0;
 };
 
--- a/packages/http/lib/calleraccount.cpp
+++ b/packages/http/lib/calleraccount.cpp
@@ -71,10 +71,16 @@
     this->endVictims(std::move(lock));
 }
 
-void CallerAccount::onResponse(LedgerNumber number, ByteCount bytes)
+void CallerAccount::onResponse(LedgerNumber number)
 {
     const std::lock_guard lock(this->mutex);
-    this->ledger.onResponse(number, bytes, this->clock.now());
+    this->ledger.onResponse(number, this->clock.now());
+}
+
+void CallerAccount::onReleased(ByteCount bytes)
+{
+    const std::lock_guard lock(this->mutex);
+    this->ledger.onReleased(bytes);
 }
 
 void CallerAccount::chargeUnread(ByteCount bytes)
--- a/packages/http/lib/connectionledger.cpp
+++ b/packages/http/lib/connectionledger.cpp
@@ -17,6 +17,9 @@
 /// Connections end until the memory is this share below its limit, so that not every further byte needs a decision.
 static constexpr std::uint64_t HeadroomDivisor = 8;
 
+/// Large requests leave this part of the memory to small ones, which are ordinary in all deployments.
+static constexpr std::uint64_t SmallReserveDivisor = 4;
+
 ConnectionLedger::ConnectionLedger(const CallerMemoryLimits &memoryLimits) : limits(memoryLimits)
 {
 }
@@ -38,16 +41,22 @@
     if (found == this->entries.end()) {
         return;
     }
-    this->reading -= found->second.held;
+    this->sumsOf(found->second.held).reading -= found->second.held;
     this->entries.erase(found);
 }
 
+ConnectionLedger::Sums &ConnectionLedger::sumsOf(std::uint64_t bytes)
+{
+    return bytes > MaxSmallRequest.count() ? this->large : this->small;
+}
+
 void ConnectionLedger::setHeld(Entry &entry, std::uint64_t held)
 {
     if (entry.isEnding) {
         return;
     }
-    this->reading = this->reading - entry.held + held;
+    this->sumsOf(entry.held).reading -= entry.held;
+    this->sumsOf(held).reading += held;
     entry.held = held;
 }
 
@@ -83,16 +92,21 @@
 
 void ConnectionLedger::onRequest(LedgerNumber number, ByteCount bytes)
 {
-    this->whole += bytes.count();
+    this->sumsOf(bytes.count()).whole += bytes.count();
     if (const auto found = this->entries.find(number); found != this->entries.end()) {
         ++found->second.wholeRequests;
     }
 }
 
-void ConnectionLedger::onResponse(LedgerNumber number, ByteCount bytes, MonotonicTime now)
+void ConnectionLedger::onReleased(ByteCount bytes)
+{
+    auto &sums = this->sumsOf(bytes.count());
+    assert(sums.whole >= bytes.count() && "a request was removed twice");
+    sums.whole -= bytes.count();
+}
+
+void ConnectionLedger::onResponse(LedgerNumber number, MonotonicTime now)
 {
-    assert(this->whole >= bytes.count() && "a request was removed twice");
-    this->whole -= bytes.count();
     if (const auto found = this->entries.find(number); found != this->entries.end()) {
         --found->second.wholeRequests;
         found->second.progressAt = now;
@@ -110,18 +124,36 @@
     this->unread -= bytes.count();
 }
 
-/// Returns the bytes by which the larger of the two excesses exceeds its limit.
-std::uint64_t ConnectionLedger::excessOver(std::uint64_t requestLimit, std::uint64_t totalLimit) const
+ConnectionLedger::Excess ConnectionLedger::excessOver(std::uint64_t requestLimit, std::uint64_t totalLimit) const
 {
-    const auto above = [](std::uint64_t used, std::uint64_t limit) {
-        return used > limit ? used - limit : 0;
+    const auto excessOf = [this, requestLimit, totalLimit](std::uint64_t requests) {
+        const auto above = [](std::uint64_t used, std::uint64_t limit) {
+            return used > limit ? used - limit : 0;
+        };
+        return std::max(above(requests, requestLimit), above(requests + this->unread, totalLimit));
     };
-    return std::max(above(this->reading + this->whole, requestLimit), above(this->reading + this->whole + this->unread, totalLimit));
+    const auto largeShare = this->limits.maxRequests.count() - this->limits.maxRequests.count() / SmallReserveDivisor;
+    return {excessOf(this->small.total() + this->large.total()), excessOf(this->small.total() + std::min(this->large.total(), largeShare))};
+}
+
+ConnectionLedger::Excess ConnectionLedger::currentExcess() const
+{
+    return this->excessOver(this->limits.maxRequests.count(), this->limits.maxTotal.count());
 }
 
 bool ConnectionLedger::isExhausted() const
 {
-    return this->reading > 0 && this->excessOver(this->limits.maxRequests.count(), this->limits.maxTotal.count()) > 0;
+    const auto excess = this->currentExcess();
+    return (this->large.reading > 0 && excess.all > 0) || (this->small.reading > 0 && excess.small > 0);
+}
+
+/// Returns whether a single large request may exceed the limit: it is within the limits of the configuration and is served while there is
+/// no other load, and the little load beside it is not refused instead.
+bool ConnectionLedger::isAloneAllowed(const Entry &entry) const
+{
+    const auto others = this->small.total() + this->large.total() - entry.held;
+    return entry.wholeRequests == 0 && others <= this->limits.maxRequests.count() / HeadroomDivisor
+        && this->excessOver(UINT64_MAX, this->limits.maxTotal.count()).all == 0;
 }
 
 /// Grows with the memory and the time that a request has taken, up to twofold with the lack of progress.
@@ -163,16 +195,13 @@
     });
     const auto requestGoal = this->limits.maxRequests.count() - this->limits.maxRequests.count() / HeadroomDivisor;
     const auto totalGoal = this->limits.maxTotal.count() - this->limits.maxTotal.count() / HeadroomDivisor;
+    const auto before = this->currentExcess();
     for (const auto &candidate : candidates) {
-        if (this->excessOver(requestGoal, totalGoal) == 0) {
-            break;
-        }
-        const auto others = this->reading + this->whole - candidate.entry->held;
-        const bool isAlone = others <= this->limits.maxRequests.count() / HeadroomDivisor;
-        if (isAlone && candidate.entry->wholeRequests == 0 && this->excessOver(UINT64_MAX, this->limits.maxTotal.count()) == 0) {
-            // A single large request within the limits of the configuration is served while there is no other load, and the little
-            // load beside it is not refused instead.
-            break;
+        const auto excess = this->excessOver(requestGoal, totalGoal);
+        const bool isSmall = candidate.entry->held <= MaxSmallRequest.count();
+        const bool shouldEnd = isSmall ? before.small > 0 && excess.small > 0 : excess.all > 0;
+        if (!shouldEnd || this->isAloneAllowed(*candidate.entry)) {
+            continue;
         }
         victims.push_back({candidate.number,
                            candidate.entry->wholeRequests > 0,
--- a/packages/http/lib/curlhttpclient.cpp
+++ b/packages/http/lib/curlhttpclient.cpp
@@ -473,7 +473,7 @@
     } else if (!request.body.empty() || request.method == "POST" || request.method == "PUT" || request.method == "PATCH") {
         curl_easy_setopt(easy, CURLOPT_POST, 1L);
         curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(request.body.size()));
-        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, request.body.data());
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, request.body.text().data());
     } else {
         curl_easy_setopt(easy, CURLOPT_HTTPGET, 1L);
     }
--- a/packages/http/lib/guardedsocket.cpp
+++ b/packages/http/lib/guardedsocket.cpp
@@ -85,8 +85,9 @@
     }
     if (this->dispatched != this->answered) {
         this->isDiscarding = true;
-        this->passedOn = std::string();
+        std::string().swap(this->passedOn);
         this->passedOnBegin = 0;
+        this->framing.dropBody();
         this->resumeReading();
         return;
     }
@@ -148,7 +149,8 @@
     if (this->passedOnBegin == this->passedOn.size()) {
         static constexpr std::size_t MaxKept = 8192;
         if (this->passedOn.capacity() > MaxKept) {
-            this->passedOn = std::string();
+            // An assignment of an empty string would keep the memory.
+            std::string().swap(this->passedOn);
         }
         this->passedOn.clear();
         this->passedOnBegin = 0;
@@ -200,6 +202,11 @@
     this->isHandlingRead = isHandling;
 }
 
+std::string AcceptedConnection::takeBody()
+{
+    return this->framing.takeBody();
+}
+
 std::uint64_t AcceptedConnection::onRequestDispatched()
 {
     return ++this->dispatched;
@@ -311,6 +318,8 @@
     this->queued.clear();
 
     this->leaveAccount();
+    // The socket may stay open for a while.
+    this->framing.dropBody();
     this->resumeReading();
     std::map<std::uint64_t, std::function<void()>> handlers;
     {
--- a/packages/http/lib/guardedsocket.h
+++ b/packages/http/lib/guardedsocket.h
@@ -75,6 +75,9 @@
         return this->accountNumber;
     }
 
+    /// Returns the body of the next request that RESTinio hands over, which has only seen its header. Precondition: called once for each.
+    std::string takeBody();
+
     /// Marks that RESTinio is handling what was read.
     void setHandlingRead(bool isHandling);
 
--- a/packages/http/lib/requestframing.cpp
+++ b/packages/http/lib/requestframing.cpp
@@ -3,7 +3,7 @@
 #include <rhubarbtiller/http/httpmessage.h>
 
 #include <algorithm>
-#include <array>
+#include <cassert>
 #include <charconv>
 #include <utility>
 
@@ -13,13 +13,22 @@
 static constexpr int ContentTooLarge = 413;
 static constexpr int HeaderTooLarge = 431;
 
-/// Chunks are passed on with this size at least, since RESTinio keeps a record for each of them.
-static constexpr std::size_t MinPassedChunk = 16 * 1024;
+/// Idle connections keep the memory of a header up to this capacity.
+static constexpr std::size_t MaxKeptHeader = 4096;
+
+/// A body that has this part of its expected size gets the memory for all of it.
+static constexpr std::uint64_t ExpectedSizeDivisor = 4;
 
 /// Memory of a header in relation to its size: its text here and its fields with the spare capacity of their strings. Measured with 800
 /// headers of 60 KB: 2.3.
 static constexpr std::uint64_t HeaderMemoryFactor = 3;
 
+/// An assignment of an empty string keeps the memory of the old one.
+static void freeMemory(std::string &text)
+{
+    std::string().swap(text);
+}
+
 static bool isTokenCharacter(char letter)
 {
     return (letter >= 'a' && letter <= 'z') || (letter >= 'A' && letter <= 'Z') || (letter >= '0' && letter <= '9')
@@ -50,12 +59,14 @@
 {
     http_parser_init(this->parser.get(), HTTP_REQUEST);
     this->parser->data = this;
+    if (this->header.capacity() > MaxKeptHeader) {
+        freeMemory(this->header);
+    }
     this->header.clear();
     this->headerSize = 0;
-    // Frees the memory, which idle connections do not need.
-    this->chunk = std::string();
+    freeMemory(this->body);
+    this->announcedSize = 0;
     this->isChunked = false;
-    this->bodySize = 0;
     this->isInBody = false;
     this->isComplete = false;
     this->isPastHeader = false;
@@ -72,6 +83,7 @@
         const std::size_t taken = this->isInBody ? this->acceptBody(bytes, refusal) : this->acceptHeader(bytes, refusal);
         bytes.remove_prefix(taken);
         if (this->isComplete && refusal == 0) {
+            this->passRequest();
             ++this->finished;
             this->beginRequest();
         }
@@ -83,7 +95,7 @@
 ByteCount RequestFraming::heldBytes() const
 {
     const std::size_t size = this->isInBody ? this->headerSize : this->header.size();
-    return ByteCount(size * HeaderMemoryFactor + this->bodySize + this->chunk.size());
+    return ByteCount(size * HeaderMemoryFactor + this->body.size());
 }
 
 bool RequestFraming::isInsideHeader() const
@@ -159,15 +171,10 @@
     }
     this->isInBody = true;
     this->headerSize = text.size();
-    this->output->append(text);
     int refusal = 0;
     if (this->acceptBody(text, refusal) != text.size() && refusal == 0) {
         refusal = BadRequest;
     }
-    static constexpr std::size_t MaxKeptHeader = 4096;
-    if (this->header.size() > MaxKeptHeader) {
-        this->header = std::string();
-    }
     return refusal;
 }
 
@@ -219,6 +226,7 @@
     if (length > this->maxBody) {
         return ContentTooLarge;
     }
+    this->announcedSize = length;
     this->wantsContinue = expectsContinue && (length > 0 || encodings > 0);
     return 0;
 }
@@ -255,33 +263,54 @@
 int RequestFraming::onBody(http_parser *parser, const char *text, std::size_t size)
 {
     auto &self = *static_cast<RequestFraming *>(parser->data);
-    self.bodySize += size;
-    self.isOversized = self.bodySize > self.maxBody;
+    self.isOversized = self.body.size() + size > self.maxBody;
     if (self.isOversized) {
         return 1;
     }
-    if (!self.isChunked) {
-        self.output->append(text, size);
-        return 0;
-    }
-    self.chunk.append(text, size);
-    if (self.chunk.size() >= MinPassedChunk) {
-        self.passChunk();
-    }
+    self.reserveBody(self.body.size() + size);
+    self.body.append(text, size);
     return 0;
 }
 
-void RequestFraming::passChunk()
+/// Growth by doubling up to the end would hold up to twice the expected size while the bytes are copied. Memory that is not written to is
+/// not resident.
+void RequestFraming::reserveBody(std::size_t size)
 {
-    if (this->chunk.empty()) {
+    if (size <= this->body.capacity()) {
         return;
     }
-    std::array<char, sizeof(std::size_t) * 2> digits{};
-    static constexpr int Hexadecimal = 16;
-    const auto end = std::to_chars(digits.data(), digits.data() + digits.size(), this->chunk.size(), Hexadecimal).ptr;
-    this->output->append(digits.data(), end);
-    *this->output += "\r\n" + this->chunk + "\r\n";
-    this->chunk.clear();
+    const std::uint64_t expected = this->isChunked ? this->maxBody : this->announcedSize;
+    const bool isNearExpected = size >= expected / ExpectedSizeDivisor;
+    this->body.reserve(isNearExpected ? std::max<std::size_t>(size, expected) : 2 * size);
+}
+
+/// Passes on the header without the fields that announce a body.
+void RequestFraming::passRequest()
+{
+    std::string_view rest = this->header;
+    while (!rest.empty()) {
+        const auto lineSize = rest.find("\r\n") + 2;
+        const std::string_view line = rest.substr(0, lineSize);
+        const std::string_view name = line.substr(0, line.find(':'));
+        rest.remove_prefix(lineSize);
+        if (!isSameHeaderName(name, "Content-Length") && !isSameHeaderName(name, "Transfer-Encoding")) {
+            this->output->append(line);
+        }
+    }
+    this->completeBodies.push_back(std::move(this->body));
+}
+
+std::string RequestFraming::takeBody()
+{
+    assert(!this->completeBodies.empty() && "a body was taken twice");
+    std::string taken = std::move(this->completeBodies.front());
+    this->completeBodies.pop_front();
+    return taken;
+}
+
+void RequestFraming::dropBody()
+{
+    freeMemory(this->body);
 }
 
 int RequestFraming::onHeadersComplete(http_parser *parser)
@@ -301,10 +330,6 @@
 {
     auto &self = *static_cast<RequestFraming *>(parser->data);
     self.isComplete = true;
-    if (self.isChunked) {
-        self.passChunk();
-        *self.output += "0\r\n\r\n";
-    }
     http_parser_pause(parser, 1);
     return 0;
 }
--- a/packages/http/lib/requestframing.h
+++ b/packages/http/lib/requestframing.h
@@ -5,6 +5,7 @@
 #include <http_parser.h>
 
 #include <cstdint>
+#include <deque>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -22,10 +23,16 @@
 
     /// Takes the next bytes; returns 0 or the HTTP status with which the connection is to be refused.
     ///
-    /// Appends to \p passedOn what a reader of requests gets instead of the bytes: a header once it is complete, and the data of small
-    /// chunks together as larger ones. Precondition: no earlier call returned a refusal.
+    /// Appends to \p passedOn what a reader of requests gets instead of the bytes: the header of a request, without the fields of its
+    /// framing, once the request is complete. Its body comes from takeBody(). Precondition: no earlier call returned a refusal.
     int accept(std::string_view bytes, std::string &passedOn);
 
+    /// Returns the body of the oldest complete request whose body was not taken yet. Precondition: there is one.
+    std::string takeBody();
+
+    /// Frees the body of the request that is being read. Precondition: accept() is not called any more.
+    void dropBody();
+
     /// Returns the estimated memory of the request that is being read, here and at its reader. Precondition: none.
     ByteCount heldBytes() const;
 
@@ -47,7 +54,8 @@
     int checkHeader();
     int checkFields(std::string_view fields, bool isOldVersion);
     void beginRequest();
-    void passChunk();
+    void passRequest();
+    void reserveBody(std::size_t size);
 
     static int onHeaderField(http_parser *parser, const char *text, std::size_t size);
     static int onBody(http_parser *parser, const char *text, std::size_t size);
@@ -60,11 +68,13 @@
     std::unique_ptr<http_parser> parser;
     std::string header;
     std::size_t headerSize = 0;
-    /// Data of chunks that is not yet passed on.
-    std::string chunk;
+    std::string body;
+    /// The length that the header announces.
+    std::uint64_t announcedSize = 0;
+    /// Bodies of complete requests that were not taken yet.
+    std::deque<std::string> completeBodies;
     /// The text that accept() appends to; set while it runs.
     std::string *output = nullptr;
-    std::uint64_t bodySize = 0;
     std::uint64_t finished = 0;
     bool isInBody = false;
     bool isComplete = false;
--- a/packages/http/lib/restinioserver.cpp
+++ b/packages/http/lib/restinioserver.cpp
@@ -54,6 +54,38 @@
 
 class ServerCore;
 
+/// Charges the memory of a whole request to the account until the last owner has let go of it.
+///
+/// Thread safety: any thread.
+class RequestCharge
+{
+public:
+    RequestCharge(std::shared_ptr<CallerAccount> callerAccount, LedgerNumber connection, ByteCount requestBytes)
+        : account(std::move(callerAccount)), bytes(requestBytes)
+    {
+        this->account->onRequest(connection, this->bytes);
+    }
+
+    RequestCharge(const RequestCharge &) = delete;
+    RequestCharge &operator=(const RequestCharge &) = delete;
+
+    ~RequestCharge()
+    {
+        this->account->onReleased(this->bytes);
+    }
+
+private:
+    const std::shared_ptr<CallerAccount> account;
+    const ByteCount bytes;
+};
+
+/// A body with the charge of its request, which ends after the body is freed.
+struct ChargedBody
+{
+    std::shared_ptr<const RequestCharge> charge;
+    std::string text;
+};
+
 /// The bytes of the responses that callers have not read yet, by connection.
 ///
 /// Thread safety: any thread.
@@ -137,7 +169,7 @@
                       const restinio::request_t &request,
                       const OpenConnection &open,
                       std::uint64_t requestNumber,
-                      ByteCount requestBytes);
+                      std::shared_ptr<const RequestCharge> requestCharge);
     ~RestinioResponder() override;
 
     void respond(HttpResponse response) override;
@@ -160,8 +192,8 @@
 
     static void write(const Target &target, HttpResponse response);
 
-    /// The memory of the request in the account until its response.
-    const ByteCount charged;
+    /// Released with the response.
+    std::shared_ptr<const RequestCharge> charge;
     const Target target;
     std::atomic<bool> hasResponded{false};
     std::atomic<std::uint64_t> disconnectHandler{0};
@@ -335,8 +367,8 @@
                                      const restinio::request_t &request,
                                      const OpenConnection &open,
                                      std::uint64_t requestNumber,
-                                     ByteCount requestBytes)
-    : charged(requestBytes)
+                                     std::shared_ptr<const RequestCharge> requestCharge)
+    : charge(std::move(requestCharge))
     , target{std::move(server),
              open.accepted,
              open.restinioConnection.lock(),
@@ -362,7 +394,8 @@
         return;
     }
     this->target.accepted->removeDisconnectHandler(this->disconnectHandler.load());
-    this->target.core->account().onResponse(this->target.accepted->ledgerNumber(), this->charged);
+    this->charge.reset();
+    this->target.core->account().onResponse(this->target.accepted->ledgerNumber());
     if (!this->target.connection) {
         return;
     }
@@ -652,14 +685,18 @@
     request->header().for_each_field([&message](const auto &field) {
         message.headers.push_back({field.name(), field.value()});
     });
-    message.body = request->body();
+    std::string body = open.accepted->takeBody();
     const auto number = open.accepted->onRequestDispatched();
-    std::uint64_t bytes = message.target.size() + message.body.size();
+    std::uint64_t bytes = message.target.size() + body.size();
     for (const Header &header : message.headers) {
         bytes += header.name.size() + header.value.size() + sizeof(Header);
     }
-    this->account().onRequest(open.accepted->ledgerNumber(), ByteCount(bytes));
-    auto responder = std::make_shared<RestinioResponder>(this->shared_from_this(), *request, open, number, ByteCount(bytes));
+    const auto charge = std::make_shared<const RequestCharge>(this->limits.account, open.accepted->ledgerNumber(), ByteCount(bytes));
+    if (!body.empty()) {
+        const auto charged = std::make_shared<const ChargedBody>(ChargedBody{charge, std::move(body)});
+        message.body = Body(std::shared_ptr<const std::string>(charged, &charged->text));
+    }
+    auto responder = std::make_shared<RestinioResponder>(this->shared_from_this(), *request, open, number, charge);
     const bool isLast = request->header().connection() != restinio::http_connection_header_t::keep_alive;
     open.accepted->enqueue(
         [self = this->shared_from_this(), held = std::make_shared<HttpRequest>(std::move(message)), responder] {
--- a/packages/http/unittests/connectionledgertest.cpp
+++ b/packages/http/unittests/connectionledgertest.cpp
@@ -99,7 +99,8 @@
     CHECK(numbersOf(ledger.takeVictims(now + 1s)) == std::vector<LedgerNumber>{60});
     CHECK_FALSE(ledger.isExhausted());
     CHECK_MESSAGE(!ledger.takeReplaceable(Group, now + 10s), "a connection with a request in progress was given to another caller");
-    ledger.onResponse(7, ByteCount(Megabyte), now + 10s);
+    ledger.onResponse(7, now + 10s);
+    ledger.onReleased(ByteCount(Megabyte));
     CHECK(ledger.chargedBytes() == ByteCount(49 * Megabyte));
     CHECK_FALSE(ledger.takeReplaceable(Group, now + 10s + 500ms));
     CHECK(ledger.takeReplaceable(Group, now + 12s) == LedgerNumber(7));
@@ -160,6 +161,46 @@
     CHECK(ledger.chargedBytes().count() <= 6 * Megabyte);
 }
 
+// Guards against large uploads that servers work on and that leave ordinary callers nothing.
+TEST_CASE("large requests leave a part of the memory to small ones")
+{
+    ConnectionLedger ledger(Limits);
+    const MonotonicTime now{};
+    for (LedgerNumber number = 1; number <= 4; ++number) {
+        ledger.open(number, Group, now);
+        ledger.onRequest(number, ByteCount(10 * Megabyte));
+    }
+    for (LedgerNumber number = 11; number <= 20; ++number) {
+        ledger.open(number, Group, now);
+        ledger.onRead(number, ByteCount(Megabyte), ByteCount(Megabyte), now);
+    }
+    CHECK_FALSE(ledger.isExhausted());
+    CHECK(ledger.takeVictims(now).empty());
+    SUBCASE("a further large request is refused")
+    {
+        ledger.open(30, Group, now);
+        ledger.onRead(30, ByteCount(2 * Megabyte), ByteCount(2 * Megabyte), now);
+        CHECK(ledger.isExhausted());
+        CHECK(numbersOf(ledger.takeVictims(now)) == std::vector<LedgerNumber>{30});
+        CHECK_FALSE(ledger.isExhausted());
+    }
+    SUBCASE("small requests beyond their part are refused")
+    {
+        ledger.open(30, Group, now);
+        ledger.onRead(30, ByteCount(Megabyte / 2), ByteCount(Megabyte / 2), now);
+        CHECK(ledger.isExhausted());
+        CHECK_FALSE(ledger.takeVictims(now).empty());
+        CHECK_FALSE(ledger.isExhausted());
+    }
+    SUBCASE("a response alone frees nothing")
+    {
+        ledger.onResponse(1, now);
+        CHECK(ledger.chargedBytes() == ByteCount(50 * Megabyte));
+        ledger.onReleased(ByteCount(10 * Megabyte));
+        CHECK(ledger.chargedBytes() == ByteCount(40 * Megabyte));
+    }
+}
+
 // Guards against callers that take all connections without a request, and against ending connections that callers still use.
 TEST_CASE("a new connection replaces one without a request before the one that is idle for longest")
 {
@@ -192,7 +233,8 @@
         ledger.onRead(number, ByteCount(Megabyte), ByteCount(Megabyte), now);
         ledger.takeVictims(now);
         ledger.close(number);
-        ledger.onResponse(number, ByteCount(Kilobyte), now);
+        ledger.onResponse(number, now);
+        ledger.onReleased(ByteCount(Kilobyte));
         ledger.onRead(number, ByteCount(Megabyte), ByteCount(Megabyte), now);
     }
     CHECK(ledger.chargedBytes() == ByteCount(0));
--- a/packages/http/unittests/httpservertest.cpp
+++ b/packages/http/unittests/httpservertest.cpp
@@ -8,7 +8,8 @@
 
 namespace {
 
-/// Answers at once with the request's method, target and body, or keeps requests to "/hold" until the test answers.
+/// Answers at once with the request's method, target and body, or keeps requests to "/hold" until the test answers and the body of one to
+/// "/keep" beyond its response.
 class EchoHandler : public RequestHandler
 {
 public:
@@ -19,6 +20,12 @@
             responder->respond(HttpResponse{200, {}, std::string(LargeBodySize, 'x')});
             return;
         }
+        if (request.target == "/keep") {
+            responder->respond(HttpResponse{200, {}, "kept"});
+            const std::lock_guard lock(this->mutex);
+            this->kept = std::move(request.body);
+            return;
+        }
         if (request.target == "/hold") {
             responder->onDisconnect([this] {
                 ++this->disconnects;
@@ -27,7 +34,13 @@
             this->held.push_back(std::move(responder));
             return;
         }
-        responder->respond(HttpResponse{200, {{"X-Echo", "yes"}}, request.method + " " + request.target + " " + request.body});
+        responder->respond(HttpResponse{200, {{"X-Echo", "yes"}}, request.method + " " + request.target + " " + request.body.text()});
+    }
+
+    void dropKept()
+    {
+        const std::lock_guard lock(this->mutex);
+        this->kept = {};
     }
 
     std::shared_ptr<Responder> takeHeld()
@@ -49,6 +62,8 @@
 private:
     std::mutex mutex;
     std::vector<std::shared_ptr<Responder>> held;
+    /// The body of the last request to "/keep".
+    Body kept;
 };
 
 class ServerFixture
@@ -622,6 +637,34 @@
     CHECK(fixture.handler.requests == 5 - refused);
 }
 
+// Guards against a limit that counts a body no longer although its memory is still in use.
+TEST_CASE("a body counts as used memory until its last copy is gone")
+{
+    static constexpr std::size_t BodySize = 700'000;
+    ServerLimits limits;
+    std::atomic<int> closures{0};
+    limits.account = std::make_shared<CallerAccount>(CallerMemoryLimits{ByteCount(1'000'000), ByteCount(2'000'000)},
+                                                     [&closures](const CallerClosure &) {
+                                                         ++closures;
+                                                     });
+    ServerFixture fixture(limits);
+    const auto upload = [](const std::string &target) {
+        return "POST " + target + " HTTP/1.1\r\nHost: x\r\nContent-Length: " + std::to_string(BodySize) + "\r\n\r\n"
+            + std::string(BodySize, 'x');
+    };
+    RawClient first(fixture.address());
+    first.send(upload("/keep"));
+    CHECK(first.readResponses(1).ends_with("kept"));
+    RawClient second(fixture.address());
+    second.send(upload("/second"));
+    CHECK(statusOf(second.readResponses(1)) == 503);
+    CHECK(closures == 1);
+    fixture.handler.dropKept();
+    RawClient third(fixture.address());
+    third.send(upload("/third"));
+    CHECK(statusOf(third.readResponses(1)) == 200);
+}
+
 // Guards against the loss of a request in progress because its caller sends a large body behind it, and against bodies that are never
 // read further.
 TEST_CASE("a large body behind a request in progress waits for its response")
--- a/packages/tablestore/unittests/adapterstest.cpp
+++ b/packages/tablestore/unittests/adapterstest.cpp
@@ -208,8 +208,8 @@
     CHECK(whole->isComplete);
     REQUIRE(whole->items.size() == 3);
     CHECK(whole->items[2].key.sort == "d");
-    CHECK(client.calls[2].request.body.find(R"("ExclusiveStartKey":{"pk":{"S":"p"},"sk":{"S":"c"}})") != std::string::npos);
-    CHECK(client.calls[0].request.body.find(R"("ConsistentRead":true)") != std::string::npos);
+    CHECK(client.calls[2].request.body.text().find(R"("ExclusiveStartKey":{"pk":{"S":"p"},"sk":{"S":"c"}})") != std::string::npos);
+    CHECK(client.calls[0].request.body.text().find(R"("ConsistentRead":true)") != std::string::npos);
     const auto part = query(2);
     REQUIRE(part);
     CHECK_FALSE(part->isComplete);
--- a/packages/testing/lib/backendstandin.cpp
+++ b/packages/testing/lib/backendstandin.cpp
@@ -238,7 +238,7 @@
     execution.wasCold = this->isCold();
     execution.concurrency = this->running;
     execution.startedAt = wallMicroseconds();
-    std::string everything = request.target + "\n" + request.body + "\n";
+    std::string everything = request.target + "\n" + request.body.text() + "\n";
     for (const auto &header : request.headers) {
         execution.headerNames.push_back(header.name);
         everything += header.name + ": " + header.value + "\n";
@@ -328,7 +328,7 @@
                  {"organisation", headerValue(run.request.headers, "rhubarbtiller-organisation")},
                  {"method", run.request.method},
                  {"target", run.request.target},
-                 {"body", run.request.body}};
+                 {"body", run.request.body.text()}};
     if (const auto bytes = queryNumber(run.request.target, "bytes"); bytes && *bytes > 0) {
         // Bounded, so that a wrong query cannot exhaust the memory of a test machine.
         body["padding"] = std::string(static_cast<std::size_t>(std::min<std::int64_t>(*bytes, 64 * 1024 * 1024)), 'x');
--- a/packages/testing/lib/dynamoendpoint.cpp
+++ b/packages/testing/lib/dynamoendpoint.cpp
@@ -311,7 +311,7 @@
         return errorResponse(400, "SerializationException", "not a call of the JSON API");
     }
     try {
-        const Json call = Json::parse(request.body);
+        const Json call = Json::parse(request.body.text());
         if (target == TargetPrefix + "GetItem") {
             return getItem(this->items, call);
         }
@@ -323,7 +323,7 @@
         }
         const auto transaction = decodeTransaction(call);
         if (const auto known = this->bodyByToken.find(transaction.clientRequestToken); known != this->bodyByToken.end()) {
-            if (known->second != request.body) {
+            if (known->second != request.body.text()) {
                 return errorResponse(400, "IdempotentParameterMismatchException", "the token was used with other parameters");
             }
             return jsonResponse(200, Json::object());
@@ -336,7 +336,7 @@
             return response;
         }
         if (!transaction.clientRequestToken.empty()) {
-            this->bodyByToken[transaction.clientRequestToken] = request.body;
+            this->bodyByToken[transaction.clientRequestToken] = request.body.text();
         }
         return jsonResponse(200, Json::object());
     } catch (const Json::parse_error &failure) {
--- a/packages/testing/lib/rawhttpserver.cpp
+++ b/packages/testing/lib/rawhttpserver.cpp
@@ -17,6 +17,7 @@
         http_parser_settings_init(&this->settings);
         this->settings.on_message_begin = [](http_parser *raw) {
             self(raw).request = {};
+            self(raw).body = {};
             self(raw).isValueLast = true;
             self(raw).isComplete = false;
             return 0;
@@ -38,10 +39,11 @@
             return 0;
         };
         this->settings.on_body = [](http_parser *raw, const char *bytes, std::size_t count) {
-            self(raw).request.body.append(bytes, count);
+            self(raw).body.append(bytes, count);
             return 0;
         };
         this->settings.on_message_complete = [](http_parser *raw) {
+            self(raw).request.body = std::exchange(self(raw).body, {});
             self(raw).request.method = http_method_str(static_cast<http_method>(raw->method));
             self(raw).isComplete = true;
             http_parser_pause(raw, 1);
@@ -57,6 +59,7 @@
     http_parser state{};
     http_parser_settings settings{};
     http::HttpRequest request;
+    std::string body;
     bool isValueLast = true;
     bool isComplete = false;
 };
--- a/tests/soak/workserver.cpp
+++ b/tests/soak/workserver.cpp
@@ -128,7 +128,7 @@
     arrival.service = this->settings.service;
     arrival.failureDomain = this->settings.failureDomain;
     arrival.organisation = headerOf(request, "Tenant");
-    arrival.content = request.method + " " + request.target + " " + request.body;
+    arrival.content = request.method + " " + request.target + " " + request.body.text();
     arrival.sawKey = !headerOf(request, "Authorization").empty();
     const auto deadline = headerOf(request, "Deadline-Ms");
     arrival.hadDeadline = !deadline.empty();
