--- a/tests/soak/replicationtest.cpp
+++ b/tests/soak/replicationtest.cpp
@@ -12,9 +12,11 @@
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
+#include <iterator>
 #include <map>
 #include <optional>
 #include <random>
+#include <sstream>
 
 using namespace rhubarbtiller;
 using namespace rhubarbtiller::soak;
@@ -125,6 +127,11 @@
     static FleetLayout layoutOf()
     {
         auto layout = LargeFleet;
+        // Set by hand: the hosts of each failure domain.
+        if (const char *const hosts = std::getenv("RHUBARBTILLER_SOAK_HOSTS")) {
+            std::istringstream counts(hosts);
+            layout.hostsPerDomain.assign(std::istream_iterator<int>(counts), {});
+        }
         // Set by hand: the open files that each process may have.
         if (const char *const files = std::getenv("RHUBARBTILLER_HOST_FILES")) {
             layout.openFiles = std::stoull(files);
