Announce the version of a pull that changes no row

A pull whose rows and removals change nothing raises the version of the replica, but StateSync set the version that the host announces and shows only when rows changed. The rows were right; operators and peers saw the host behind, and peers would not have pulled from it after the end of the reader. The announced version now follows each pull.

--- a/packages/gateway/lib/statesync.cpp
+++ b/packages/gateway/lib/statesync.cpp
@@ -482,6 +482,9 @@
     if (hasChanged) {
         state.needsFullRead = false;
         this->onTableChanged(state, host.text());
+    } else {
+        // Rows that were written and removed again since the last pull change nothing but the version.
+        this->setOwnVersion(state);
     }
 }
 
@@ -518,18 +521,23 @@
             }
             this->catalog = std::move(next);
         }
-        const std::lock_guard lock(this->versionsMutex);
-        this->versions.configurationVersion = state.replica.version();
     } else {
         if (from == StoreSource) {
             this->retainExpiredServers(state.replica.removedRows(), now);
         }
-        const std::lock_guard lock(this->versionsMutex);
-        this->versions.serversVersion = state.replica.version();
     }
+    this->setOwnVersion(state);
     this->publish();
 }
 
+/// Sets the version that this host announces to that of a replica.
+void StateSync::setOwnVersion(const TableState &state)
+{
+    const std::lock_guard lock(this->versionsMutex);
+    (state.table == SourceTable::Configuration ? this->versions.configurationVersion : this->versions.serversVersion)
+        = state.replica.version();
+}
+
 std::shared_ptr<const catalog::ServerTable> StateSync::buildServers(MonotonicTime now)
 {
     std::vector<catalog::ServerEntry> entries;
--- a/packages/gateway/lib/statesync.h
+++ b/packages/gateway/lib/statesync.h
@@ -162,6 +162,7 @@
     void onPullResponse(TableState &state, const HostId &host, const Result<http::HttpResponse> &response);
     std::string compressedRows(const TableState &state, StoreVersion after);
     void onTableChanged(const TableState &state, std::string_view from);
+    void setOwnVersion(const TableState &state);
     void retainExpiredServers(const ReplicatedRows &removed, MonotonicTime now);
     void publish();
     std::shared_ptr<const catalog::ServerTable> buildServers(MonotonicTime now);
--- a/packages/gateway/unittests/statesynctest.cpp
+++ b/packages/gateway/unittests/statesynctest.cpp
@@ -216,6 +216,24 @@
     CHECK(fixture.servers() == Names{"s2"});
 }
 
+// Guards against hosts that are up to date and announce an older version: the operators see them behind, and no peer pulls from them after
+// the reader has ended. The row was written and removed again before this host asked.
+TEST_CASE("a pull that changes no row leaves the announced version behind")
+{
+    SyncFixture fixture;
+    fixture.startWith({{"s1", "ready", 5, false}});
+    fixture.sync.setRank(1);
+    wire::ReplicaAnswer answer;
+    answer.version = 20;
+    answer.__set_removed({"s2"});
+    fixture.peerAnswer = encodeThrift(answer);
+    fixture.sync.onPeerReplicaStatus(fixture.peer(20, 20, 10ms));
+    fixture.tick();
+    CHECK(fixture.servers() == Names{"s1"});
+    CHECK(fixture.sync.replicaStatus().serversVersion.number == 20);
+    CHECK(fixture.sync.replicaStatus().configurationVersion.number == 20);
+}
+
 TEST_CASE("responses for the servers hide from the peers that the store refuses the configuration")
 {
     SyncFixture fixture;
