Have the store of even seeds of the replication test return from an older copy

The state page shows the era of the servers beside their version, as it does for the configuration, so that the test compares versions across a return of the store. BackendWorld records the era of each write, and no removal of a row that the store lacks.

--- a/packages/gateway/lib/statepage.cpp
+++ b/packages/gateway/lib/statepage.cpp
@@ -110,6 +110,7 @@
           {"storeVersion", parts.replicaStatus.configurationVersion.number},
           {"announcedStoreVersion", parts.replicaStatus.announcedConfigurationVersion.number}}},
         {"stateAgeMs", parts.state != nullptr ? json(milliseconds(now - parts.state->changedAt)) : json()},
+        {"serversEra", parts.replicaStatus.serversVersion.era.count()},
         {"serversVersion", parts.replicaStatus.serversVersion.number},
         {"storeContactAgeMs", parts.replicaStatus.storeContactAge ? json(milliseconds(*parts.replicaStatus.storeContactAge)) : json()},
         {"hosts", hostsPart(parts.directory, now)},
--- a/packages/testing/include/rhubarbtiller/testing/rowstorestandin.h
+++ b/packages/testing/include/rhubarbtiller/testing/rowstorestandin.h
@@ -55,6 +55,18 @@
     /// Precondition: \p earlier is from this store.
     void returnFrom(const Copy &earlier);
 
+    /// Returns the version of the last write. Precondition: none.
+    std::uint64_t lastVersion() const
+    {
+        return this->version;
+    }
+
+    /// Returns how often the store has come back, from 1. Precondition: none.
+    std::uint64_t currentEra() const
+    {
+        return this->era;
+    }
+
     /// The status of refused calls while \c faults has an outage of that kind.
     int refusalStatus = 503;
 
--- a/tests/soak/backendworld.cpp
+++ b/tests/soak/backendworld.cpp
@@ -100,13 +100,17 @@
 void BackendWorld::putRow(StoreTable table, const std::string &key, const std::string &value)
 {
     const auto written = this->store->put(tableName(table), key, value);
-    this->writes.push_back({table, written, steady_clock::now()});
+    this->writes.push_back({table, this->store->currentEra(), written, steady_clock::now()});
 }
 
 void BackendWorld::removeRow(StoreTable table, const std::string &key)
 {
+    const auto before = this->store->lastVersion();
     const auto written = this->store->remove(tableName(table), key);
-    this->writes.push_back({table, written, steady_clock::now()});
+    // The store may lack the row since it came back from a copy.
+    if (written != before) {
+        this->writes.push_back({table, this->store->currentEra(), written, steady_clock::now()});
+    }
 }
 
 std::vector<StoreWrite> BackendWorld::storeWrites()
--- a/tests/soak/backendworld.h
+++ b/tests/soak/backendworld.h
@@ -89,7 +89,7 @@
     /// Returns the ids of the servers of a version. Precondition: none.
     std::set<std::string> serversOf(const std::string &release);
 
-    /// Returns the changes of both tables in their order. Precondition: the store has not returned from a copy.
+    /// Returns the changes of both tables in their order. Precondition: none.
     std::vector<StoreWrite> storeWrites();
 
     /// Hands over what the stand-ins recorded. Precondition: called once.
--- a/tests/soak/history.h
+++ b/tests/soak/history.h
@@ -89,6 +89,7 @@
 struct StoreWrite
 {
     StoreTable table = StoreTable::Configuration;
+    std::uint64_t era = 0;
     std::uint64_t version = 0;
     SoakTime at{};
 };
--- a/tests/soak/replicationtest.cpp
+++ b/tests/soak/replicationtest.cpp
@@ -41,6 +41,14 @@
 static constexpr milliseconds ChangeBound{2000};
 static constexpr milliseconds ContactBound{3000};
 
+/// When the store of some runs is copied and comes back from the copy, after the beginning of the faults.
+static constexpr milliseconds StoreCopyAt{2000};
+static constexpr milliseconds StoreOutageAt{5000};
+static constexpr milliseconds StoreOutageTime{300};
+
+/// The store of each run whose seed is even returns from a copy.
+static constexpr std::uint64_t SeedsPerStoreReturn = 2;
+
 namespace {
 
 /// Plays faults with a large fleet of real programs and judges how late each host has each change of the store.
@@ -48,7 +56,7 @@
 {
 public:
     explicit ReplicationRun(std::uint64_t runSeed)
-        : random(runSeed), backend(runSeed), fleet(backend.ioContext(), this->storeAddress(), runSeed, layoutOf())
+        : seed(runSeed), random(runSeed), backend(runSeed), fleet(backend.ioContext(), this->storeAddress(), runSeed, layoutOf())
     {
         const auto count = static_cast<std::size_t>(this->fleet.hostCount());
         this->pausedUntil.resize(count);
@@ -90,6 +98,9 @@
         Callers callers(this->callerWorld, callerText == nullptr ? CallerCount : std::stoi(callerText), this->random());
         this->planChanges(this->beganAt + 500ms);
         this->planFaults(this->beganAt + CalmBefore);
+        if (this->seed % SeedsPerStoreReturn == 0) {
+            this->planStoreReturn(this->beganAt + CalmBefore);
+        }
         this->playUntil(this->beganAt + CalmBefore + FaultTime);
         this->areFaultsOver = true;
         while (!this->queue.empty() || std::find(this->isDown.begin(), this->isDown.end(), true) != this->isDown.end()) {
@@ -169,7 +180,7 @@
             for (const auto &sample : samples) {
                 const auto version = table == StoreTable::Configuration ? sample.configurationVersion : sample.serversVersion;
                 const auto missed = std::find_if(writes.begin(), writes.end(), [&](const StoreWrite &write) {
-                    return write.table == table && write.version > version;
+                    return write.table == table && std::pair(write.era, write.version) > version;
                 });
                 if (!this->isCalm(sample.host, sample.sentAt - ContactBound, sample.receivedAt)) {
                     continue;
@@ -275,6 +286,22 @@
         });
     }
 
+    void planStoreReturn(SoakTime begin)
+    {
+        this->at(begin + StoreCopyAt, [this] {
+            this->say("store is copied");
+            this->backend.copyStore();
+        });
+        this->at(begin + StoreOutageAt, [this] {
+            this->harmStore("is away, then returns from the copy", StoreOutageTime, [](testing::ServiceFaults &faults) {
+                faults.outage = testing::OutageMode::Reset;
+            });
+        });
+        this->at(begin + StoreOutageAt + StoreOutageTime - TickInterval * 4, [this] {
+            this->backend.returnStoreFromCopy();
+        });
+    }
+
     /// Returns hosts that read the store, first those of the lowest rank; others if there are not enough.
     std::vector<int> pickHosts(std::size_t count, bool prefersReaders)
     {
@@ -523,6 +550,7 @@
         }
     }
 
+    const std::uint64_t seed;
     std::mt19937_64 random;
     BackendWorld backend;
     GatewayFleet fleet;
--- a/tests/soak/statepoller.cpp
+++ b/tests/soak/statepoller.cpp
@@ -54,8 +54,12 @@
             if (reply.fault != fleettests::CallFault::None || reply.status != 200 || !page.is_object()) {
                 continue;
             }
-            sample.configurationVersion = page.at("configuration").at("storeVersion").get<std::uint64_t>();
-            sample.serversVersion = page.at("serversVersion").get<std::uint64_t>();
+            const auto number = [](const nlohmann::json &object, const char *name) {
+                return object.at(name).get<std::uint64_t>();
+            };
+            const auto &configuration = page.at("configuration");
+            sample.configurationVersion = {number(configuration, "storeEra"), number(configuration, "storeVersion")};
+            sample.serversVersion = {number(page, "serversEra"), number(page, "serversVersion")};
             sample.isReadingStore = !page.at("storeContactAgeMs").is_null();
             sample.rank = page.at("hosts").at("rankInDomain").get<std::size_t>();
             const std::lock_guard lock(this->mutex);
--- a/tests/soak/statepoller.h
+++ b/tests/soak/statepoller.h
@@ -7,6 +7,7 @@
 #include <mutex>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 namespace rhubarbtiller::soak {
@@ -17,8 +18,9 @@
     int host = -1;
     SoakTime sentAt{};
     SoakTime receivedAt{};
-    std::uint64_t configurationVersion = 0;
-    std::uint64_t serversVersion = 0;
+    /// Era and number.
+    std::pair<std::uint64_t, std::uint64_t> configurationVersion;
+    std::pair<std::uint64_t, std::uint64_t> serversVersion;
     bool isReadingStore = false;
     std::size_t rank = 0;
 };
