Play a return of the store before the operator has written again

The operator wrote the configuration in the same step as the store returned, so that no host ever read the older one of the copy.

--- a/tests/soak/backendworld.cpp
+++ b/tests/soak/backendworld.cpp
@@ -30,6 +30,9 @@
 static constexpr std::chrono::milliseconds HeartbeatInterval{1500};
 static constexpr int MissedHeartbeats = 3;
 
+/// The operator writes again what the store has lost this long after its return.
+static constexpr std::chrono::milliseconds OperatorRewriteTime{200};
+
 BackendWorld::BackendWorld(std::uint64_t runSeed)
     : work(asio::make_work_guard(this->context))
     , thread([this] {
@@ -401,14 +404,16 @@
 {
     this->perform([this] {
         this->store->returnFrom(*this->storeCopy);
-        this->putRow(StoreTable::Configuration, "config", this->configuration);
-        for (const auto &domain : GatewayFleet::failureDomains()) {
-            if (this->evacuated.contains(domain)) {
-                this->putRow(StoreTable::Configuration, "evacuate/" + domain, "{}");
-            } else {
-                this->removeRow(StoreTable::Configuration, "evacuate/" + domain);
+        this->after(OperatorRewriteTime, [this] {
+            this->putRow(StoreTable::Configuration, "config", this->configuration);
+            for (const auto &domain : GatewayFleet::failureDomains()) {
+                if (this->evacuated.contains(domain)) {
+                    this->putRow(StoreTable::Configuration, "evacuate/" + domain, "{}");
+                } else {
+                    this->removeRow(StoreTable::Configuration, "evacuate/" + domain);
+                }
             }
-        }
+        });
         for (const auto &place : this->servers) {
             place->hasLostEntry = true;
         }
--- a/tests/soak/backendworld.h
+++ b/tests/soak/backendworld.h
@@ -74,7 +74,7 @@
     /// Takes a copy of the store. Precondition: none.
     void copyStore();
 
-    /// Has the store come back from the copy. The operator writes again at once what the store has lost, the servers with their next
+    /// Has the store come back from the copy. The operator soon writes again what the store has lost, the servers with their next
     /// heartbeats; the entries of servers that have ended meanwhile expire. Precondition: copyStore() was called.
     void returnStoreFromCopy();
 
--- a/tests/soak/storereturntest.cpp
+++ b/tests/soak/storereturntest.cpp
@@ -63,7 +63,9 @@
         backend.rowStore().faults.outage = testing::OutageMode::None;
     });
     history.disturbances.push_back({-1, outageAt, steady_clock::now()});
-    // The servers have not written their entries yet, so that these changes get versions that the hosts have seen before.
+    // Time in which the store lists only the configuration of the copy. The servers write their entries later still, so that the changes
+    // get versions that the hosts have seen before.
+    std::this_thread::sleep_for(100ms);
     backend.moveRoute();
     backend.withdrawKey();
     const Bounds bounds;
