Keep small requests and a permitted large one when memory is exhausted

The permitted request ends the selection as before, and the headroom of small requests is an eighth of their share. Responses that callers have not read count beside all large requests, so that the total stays within its limit.

--- a/packages/gateway/unittests/backendclienttest.cpp
+++ b/packages/gateway/unittests/backendclienttest.cpp
@@ -545,8 +545,8 @@
     CHECK(outcome->end == AttemptEnd::Broken);
 }
 
-// Review of d572172: guards against a body that is kept after an early response, or after a cancellation while connecting.
-TEST_CASE("review: a body is dropped after an early response and after a cancellation while connecting")
+// Guards against a body that is kept after an early response, or after a cancellation while connecting.
+TEST_CASE("a body is dropped after an early response and after a cancellation while connecting")
 {
     BackendFixture fixture([](const http::HttpRequest &, const std::shared_ptr<RawConnection> &) {
     });
@@ -594,8 +594,8 @@
     }
 }
 
-// Review of d572172: guards against attempts that share a body and end each other's write.
-TEST_CASE("review: an attempt that is cancelled while it writes leaves the shared body of another whole")
+// Guards against attempts that share a body and end each other's write.
+TEST_CASE("an attempt that is cancelled while it writes leaves the shared body of another whole")
 {
     static constexpr std::size_t BodySize = 20'000'000;
     std::string arrived;
--- a/packages/http/include/rhubarbtiller/http/connectionledger.h
+++ b/packages/http/include/rhubarbtiller/http/connectionledger.h
@@ -124,7 +124,7 @@
     {
         /// Of all requests, and of these with unread responses.
         std::uint64_t all = 0;
-        /// The same with no more of the large requests than their share.
+        /// The same with no more of the large requests than their share of the memory for requests.
         std::uint64_t small = 0;
     };
 
--- a/packages/http/lib/connectionledger.cpp
+++ b/packages/http/lib/connectionledger.cpp
@@ -126,14 +126,14 @@
 
 ConnectionLedger::Excess ConnectionLedger::excessOver(std::uint64_t requestLimit, std::uint64_t totalLimit) const
 {
-    const auto excessOf = [this, requestLimit, totalLimit](std::uint64_t requests) {
-        const auto above = [](std::uint64_t used, std::uint64_t limit) {
-            return used > limit ? used - limit : 0;
-        };
-        return std::max(above(requests, requestLimit), above(requests + this->unread, totalLimit));
+    const auto above = [](std::uint64_t used, std::uint64_t limit) {
+        return used > limit ? used - limit : 0;
     };
+    const auto requests = this->small.total() + this->large.total();
+    const auto aboveTotal = above(requests + this->unread, totalLimit);
     const auto largeShare = this->limits.maxRequests.count() - this->limits.maxRequests.count() / SmallReserveDivisor;
-    return {excessOf(this->small.total() + this->large.total()), excessOf(this->small.total() + std::min(this->large.total(), largeShare))};
+    const auto requestsWithShare = this->small.total() + std::min(this->large.total(), largeShare);
+    return {std::max(above(requests, requestLimit), aboveTotal), std::max(above(requestsWithShare, requestLimit), aboveTotal)};
 }
 
 ConnectionLedger::Excess ConnectionLedger::currentExcess() const
@@ -193,14 +193,20 @@
         }
         return left.cost != right.cost ? left.cost > right.cost : left.number < right.number;
     });
-    const auto requestGoal = this->limits.maxRequests.count() - this->limits.maxRequests.count() / HeadroomDivisor;
-    const auto totalGoal = this->limits.maxTotal.count() - this->limits.maxTotal.count() / HeadroomDivisor;
+    const auto excessWithHeadroom = [this](std::uint64_t divisor) {
+        return this->excessOver(this->limits.maxRequests.count() - this->limits.maxRequests.count() / divisor,
+                                this->limits.maxTotal.count() - this->limits.maxTotal.count() / divisor);
+    };
     const auto before = this->currentExcess();
     for (const auto &candidate : candidates) {
-        const auto excess = this->excessOver(requestGoal, totalGoal);
+        if (this->isAloneAllowed(*candidate.entry)) {
+            break;
+        }
         const bool isSmall = candidate.entry->held <= MaxSmallRequest.count();
-        const bool shouldEnd = isSmall ? before.small > 0 && excess.small > 0 : excess.all > 0;
-        if (!shouldEnd || this->isAloneAllowed(*candidate.entry)) {
+        // The headroom of small requests is a part of their share.
+        const bool shouldEnd = isSmall ? before.small > 0 && excessWithHeadroom(HeadroomDivisor * SmallReserveDivisor).small > 0
+                                       : excessWithHeadroom(HeadroomDivisor).all > 0;
+        if (!shouldEnd) {
             continue;
         }
         victims.push_back({candidate.number,
--- a/packages/http/unittests/connectionledgertest.cpp
+++ b/packages/http/unittests/connectionledgertest.cpp
@@ -240,8 +240,8 @@
     CHECK(ledger.chargedBytes() == ByteCount(0));
 }
 
-// Review of d572172: guards against a further upload that is refused beside a permitted large one.
-TEST_CASE("review: an upload of a few megabytes beside a permitted large one is not refused")
+// Guards against a further upload that is refused beside a permitted large one.
+TEST_CASE("an upload of a few megabytes beside a permitted large one is not refused")
 {
     ConnectionLedger ledger(Limits);
     const MonotonicTime now{};
@@ -253,8 +253,8 @@
     CHECK(numbersOf(ledger.takeVictims(now)).empty());
 }
 
-// Review of d572172: guards against the end of about half of the small requests because their share is exceeded by a few bytes.
-TEST_CASE("review: small requests beyond their share end until the share has an eighth of headroom, and not half of it")
+// Guards against the end of about half of the small requests because their share is exceeded by a few bytes.
+TEST_CASE("small requests beyond their share end until the share has an eighth of headroom, and not half of it")
 {
     ConnectionLedger ledger(Limits);
     const MonotonicTime now{};
@@ -271,8 +271,8 @@
     CHECK(ended <= 20);
 }
 
-// Review of d572172: guards against the end of all small requests that are read while others are at servers.
-TEST_CASE("review: a share that is half used by small requests at servers does not end every small request that is read")
+// Guards against the end of all small requests that are read while others are at servers.
+TEST_CASE("a share that is half used by small requests at servers does not end every small request that is read")
 {
     ConnectionLedger ledger(Limits);
     const MonotonicTime now{};
--- a/packages/http/unittests/httpservertest.cpp
+++ b/packages/http/unittests/httpservertest.cpp
@@ -850,8 +850,8 @@
 
 } // namespace
 
-// Review of d572172: guards against the body of one request that reaches another, however the bytes are split into reads.
-TEST_CASE("review: pipelined requests of all framings keep their own bodies")
+// Guards against the body of one request that reaches another, however the bytes are split into reads.
+TEST_CASE("pipelined requests of all framings keep their own bodies")
 {
     ServerLimits limits;
     limits.maxPipelinedRequests = 3;
@@ -870,8 +870,8 @@
             }
             text += "0\r\n\r\n";
         } else if (i % 4 == 2) {
-            text += "GET " + target + " HTTP/1.1\r\nHost: x\r\nX-Long: " + std::string(5000, 'h') + "\r\ncontent-LENGTH: "
-                + std::to_string(body.size()) + "\r\n\r\n" + body;
+            text += "GET " + target + " HTTP/1.1\r\nHost: x\r\nX-Long: " + std::string(5000, 'h')
+                + "\r\ncontent-LENGTH: " + std::to_string(body.size()) + "\r\n\r\n" + body;
         } else {
             text += "\r\n" + postWith(target, body, "Expect: 100-continue\r\n");
         }
@@ -895,8 +895,8 @@
     }
 }
 
-// Review of d572172: guards against bytes behind a request that asks to upgrade, and against its body.
-TEST_CASE("review: a request with a body that wishes to upgrade behind others gets its own body")
+// Guards against bytes behind a request that asks to upgrade, and against its body.
+TEST_CASE("a request with a body that wishes to upgrade behind others gets its own body")
 {
     ServerLimits limits;
     limits.maxPipelinedRequests = 4;
@@ -917,8 +917,8 @@
     CHECK(text.find("POST /c") == std::string::npos);
 }
 
-// Review of d572172: CONNECT has no body for http_parser, whatever its Content-Length.
-TEST_CASE("review: CONNECT with a path and a Content-Length does not hand its body on as a request")
+// CONNECT has no body for http_parser, whatever its Content-Length.
+TEST_CASE("CONNECT with a path and a Content-Length does not hand its body on as a request")
 {
     ServerFixture fixture;
     RawClient client(fixture.address());
@@ -929,8 +929,8 @@
     CHECK(text.find("smuggled") == std::string::npos);
 }
 
-// Review of d572172: guards against chunk lines that other implementations read differently.
-TEST_CASE("review: chunk lines with a bare line feed or a bare carriage return are refused")
+// Guards against chunk lines that other implementations read differently.
+TEST_CASE("chunk lines with a bare line feed or a bare carriage return are refused")
 {
     ServerFixture fixture;
     const std::string head = "POST /x HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n";
@@ -947,8 +947,8 @@
     }
 }
 
-// Review of d572172: guards against memory of requests that no limit counts.
-TEST_CASE("review: the body of a request that wishes to upgrade behind one in progress counts")
+// Guards against memory of requests that no limit counts.
+TEST_CASE("the body of a request that wishes to upgrade behind one in progress counts")
 {
     ServerLimits limits;
     limits.maxPipelinedRequests = 4;
@@ -972,12 +972,13 @@
         std::this_thread::sleep_for(std::chrono::milliseconds(20));
     }
     CHECK_MESSAGE(eventually([&] {
-        return closures > 0;
-    }), "60 bodies of 60000 bytes are in memory beside a limit of 1000000");
+                      return closures > 0;
+                  }),
+                  "60 bodies of 60000 bytes are in memory beside a limit of 1000000");
 }
 
-// Review of d572172: guards against charges that stay or are removed twice when callers and handlers end in any order.
-TEST_CASE("review: no charge is left after callers that leave at any time, and bodies that outlive the server")
+// Guards against charges that stay or are removed twice when callers and handlers end in any order.
+TEST_CASE("no charge is left after callers that leave at any time, and bodies that outlive the server")
 {
     static constexpr std::size_t BodySize = 300'000;
     ServerLimits limits;
@@ -1058,8 +1059,8 @@
     outliving = {};
 }
 
-// Review of d572172: guards against headers and bodies that are matched wrongly when random requests arrive in random pieces.
-TEST_CASE("review: random pipelined requests in random pieces keep their own bodies")
+// Guards against headers and bodies that are matched wrongly when random requests arrive in random pieces.
+TEST_CASE("random pipelined requests in random pieces keep their own bodies")
 {
     ServerLimits limits;
     limits.maxPipelinedRequests = 3;
@@ -1079,7 +1080,8 @@
             const std::string body(random(3) == 0 ? 0 : random(random(4) == 0 ? 9000 : 40), static_cast<char>('a' + i));
             const char *const methods[] = {"GET", "POST", "PUT", "DELETE", "OPTIONS"};
             const std::string method = methods[random(5)];
-            std::string head = method + " " + target + (random(8) == 0 && i + 1 == count ? " HTTP/1.0\r\n" : " HTTP/1.1\r\n") + "Host: x\r\n";
+            std::string head
+                = method + " " + target + (random(8) == 0 && i + 1 == count ? " HTTP/1.0\r\n" : " HTTP/1.1\r\n") + "Host: x\r\n";
             if (random(6) == 0) {
                 head += "X-Long: " + std::string(random(9000), 'h') + "\r\n";
             }
