--- a/tests/callerlimits/uploadlimitstest.cpp
+++ b/tests/callerlimits/uploadlimitstest.cpp
@@ -142,17 +142,30 @@
     checkServingHost(host, SmallMegabytes);
 }
 
-// Guards against limits that refuse a single request of the largest legal size, and against copies of its body.
-TEST_CASE("a single upload of the largest legal size is served within the memory of the host")
+/// Sends one body of the largest legal size to a host, which serves it within its memory.
+static void checkSingleUpload(unsigned memoryMegabytes)
 {
     Deployment deployment;
-    LimitedHost host({UsualMegabytes, MaxDescriptors, deployment.storeAddress()});
+    LimitedHost host({memoryMegabytes, MaxDescriptors, deployment.storeAddress()});
     {
         fleettests::HttpConnection connection(host.callerAddress());
         const auto fields = Deployment::requestFields("upload-1");
         CHECK(connection.call("POST", "/upload", fields, std::string(MaxBody, 'x'), 2 * AnswerTimeout).status == 200);
     }
-    checkServingHost(host, UsualMegabytes);
+    checkServingHost(host, memoryMegabytes);
+}
+
+// Guards against limits that refuse a single request of the largest legal size, and against copies of its body.
+TEST_CASE("a single upload of the largest legal size is served within the memory of the host")
+{
+    checkSingleUpload(UsualMegabytes);
+}
+
+// Guards against limits by the memory of a host that are below the largest legal size.
+TEST_CASE("a single upload of the largest legal size is served within the memory of the smallest host")
+{
+    static constexpr unsigned SmallestMegabytes = 112;
+    checkSingleUpload(SmallestMegabytes);
 }
 
 // Guards against idle connections to servers that keep the body of the last request.
