Have a cold server say so when it writes its entry again

The server had started 0.1 s before the store returned from its copy, and the stand-in wrote its entry again as if it were warm. A server states the rest of its cold time now.

--- a/tests/soak/backendworld.cpp
+++ b/tests/soak/backendworld.cpp
@@ -5,6 +5,7 @@
 #include <asio/post.hpp>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <future>
 
 namespace rhubarbtiller::soak {
@@ -374,7 +375,8 @@
     }
     ++(*place)->heartbeats;
     if (std::exchange((*place)->hasLostEntry, false)) {
-        this->writeEntry(**place, (*place)->state, 0);
+        const auto coldTime = (*place)->server->settings.coldUntil - steady_clock::now();
+        this->writeEntry(**place, (*place)->state, std::max(0.0, std::chrono::duration<double>(coldTime).count()));
     } else {
         this->store->touch();
     }
