Simplify how a response older than the replica is logged, and shorten heads of tests

Cause: a first and a second version of the era handling were left one around the other, so that a flag was set twice and a condition nested in another. Heads of five tests say in one line which failure they guard against.

--- a/packages/balance/unittests/hostdirectorytest.cpp
+++ b/packages/balance/unittests/hostdirectorytest.cpp
@@ -293,8 +293,7 @@
     CHECK(directory.servingPeers(clock.now()).empty());
 }
 
-// Guards against hosts that ignore a peer for good: a process started after its machine's wall clock was set back has a lower incarnation
-// than the process before. Its peers did not count it, nor use its announcements in compact heartbeats, and sent it nothing after a minute.
+// Guards against hosts that ignore a peer for good because its process has a lower incarnation than the one before.
 TEST_CASE("a host whose wall clock went back between two starts stays unknown to its peers")
 {
     testing::VirtualClock clock;
--- a/packages/gateway/lib/statesync.cpp
+++ b/packages/gateway/lib/statesync.cpp
@@ -313,16 +313,14 @@
 bool StateSync::followsReplica(TableState &state, std::optional<StoreVersion> watchedFrom, StoreVersion version, MonotonicTime now)
 {
     const auto position = state.replica.position();
-    if (version.era > position.era) {
-        if (hasRows(state.replica)) {
-            logEvent(LogLevel::Warning,
-                     "store_returned",
-                     {{"table", tableName(state.table)},
-                      {"store_era", version.era.count()},
-                      {"store_version", version.number},
-                      {"era_before", position.era.count()},
-                      {"position_before", position.number}});
-        }
+    if (version.era > position.era && hasRows(state.replica)) {
+        logEvent(LogLevel::Warning,
+                 "store_returned",
+                 {{"table", tableName(state.table)},
+                  {"store_era", version.era.count()},
+                  {"store_version", version.number},
+                  {"era_before", position.era.count()},
+                  {"position_before", position.number}});
     }
     if (watchedFrom && version.era > watchedFrom->era) {
         // The changes follow a position of the earlier era.
@@ -332,7 +330,7 @@
         return false;
     }
     const bool isOlder = watchedFrom ? version.era < position.era : version < position;
-    if (isOlder && !std::exchange(state.isStoreBehind, true)) {
+    if (isOlder && !state.isStoreBehind) {
         logEvent(LogLevel::Warning,
                  "store_version_went_back",
                  {{"table", tableName(state.table)},
@@ -341,13 +339,13 @@
                   {"store_era", version.era.count()},
                   {"position", position.number}});
     }
+    state.isStoreBehind = isOlder;
     if (isOlder) {
         // A response that the replica ignores is no contact with the store: another host of the domain has to read it. The store
         // responds, so the delay does not grow.
         state.consecutiveFailures = 0;
         this->delayNextRead(state, now);
     }
-    state.isStoreBehind = isOlder;
     return !isOlder;
 }
 
--- a/packages/gateway/unittests/replicationhistorytest.cpp
+++ b/packages/gateway/unittests/replicationhistorytest.cpp
@@ -114,8 +114,7 @@
     CHECK(result.reads <= 3 * 5 * 2 * 6);
 }
 
-// Guards against hosts that wait out the long delay of standby hosts after an outage of the store while the hosts that read it first remain
-// without it.
+// Guards against hosts that wait out their delay after an outage of the store while the hosts that read it first remain without it.
 TEST_CASE("a change that is late because the first hosts of all domains stay cut from the store after an outage")
 {
     using namespace std::chrono_literals;
--- a/packages/gateway/unittests/statesynctest.cpp
+++ b/packages/gateway/unittests/statesynctest.cpp
@@ -166,8 +166,7 @@
     CHECK(fixture.servers() == Names{"s2"});
 }
 
-// Guards against a host that sends requests to servers that are gone for as long as the store refuses it alone: the entries expired during
-// an outage, the store then refuses the first host of the domain, and another one, which it serves, announces the current list.
+// Guards against a host that sends requests to servers that are gone for as long as the store refuses it alone.
 TEST_CASE("a host that the store refuses keeps expired servers in use although its peers are served")
 {
     SyncFixture fixture;
@@ -216,8 +215,7 @@
     CHECK(fixture.servers() == Names{"s2"});
 }
 
-// Guards against hosts that are up to date and announce an older version: the operators see them behind, and no peer pulls from them after
-// the reader has ended. The row was written and removed again before this host asked.
+// Guards against hosts that are up to date and announce an older version, so that no peer pulls from them.
 TEST_CASE("a pull that changes no row leaves the announced version behind")
 {
     SyncFixture fixture;
--- a/tests/soak/replicationtest.cpp
+++ b/tests/soak/replicationtest.cpp
@@ -571,8 +571,7 @@
 
 } // namespace
 
-// Guards against hosts that keep an outdated configuration or list of servers although they and the store are undisturbed: a large fleet
-// relies on a few readers of the store, and these stand still, end or lose their links in quick succession.
+// Guards against hosts that are behind because the few readers of the store stand still, end or lose their links in quick succession.
 TEST_CASE("undisturbed hosts of a large fleet stay behind while other hosts fail")
 {
     for (const auto seed : seedsToPlay(1)) {
