Share the start of a fleet between the tests of the soak

The address of the store, the wait for all hosts and the callers' view of the fleet stood in up to five tests, some of them new. BackendWorld and GatewayFleet have them once; bounds and checks stay.

--- a/packages/gateway/lib/tablereplica.cpp
+++ b/packages/gateway/lib/tablereplica.cpp
@@ -6,12 +6,12 @@
 
 namespace rhubarbtiller::gateway {
 
-/// Length of the removal history; exceeds the number of servers that a fleet loses within the time that a peer may lag.
+/// Length of the removal history, and number of removed rows that are kept; exceeds the number of servers that a fleet loses within the
+/// time that a peer may lag.
 static constexpr std::size_t MaxRemovals = 1000;
 
 /// The store returns from copies that are some seconds old; removals before that are not in question.
 static constexpr Duration ErasedRowRetention = std::chrono::seconds(60);
-static constexpr std::size_t MaxErasedRows = 1000;
 
 /// Bounds the memory for removed rows; the entry of a server takes a few hundred bytes.
 static constexpr std::size_t MaxErasedRowBytes = 4096;
@@ -131,12 +131,12 @@
     if (node.empty()) {
         return false;
     }
-    if (this->erasedRows.size() >= MaxErasedRows) {
+    if (this->erasedRows.size() >= MaxRemovals) {
         std::erase_if(this->erasedRows, [now](const auto &entry) {
             return now - entry.second.erasedAt >= ErasedRowRetention;
         });
     }
-    if (this->erasedRows.size() < MaxErasedRows && node.mapped().value.size() <= MaxErasedRowBytes) {
+    if (this->erasedRows.size() < MaxRemovals && node.mapped().value.size() <= MaxErasedRowBytes) {
         this->erasedRows[key] = {node.mapped(), now};
     }
     this->removed.insert(std::move(node));
--- a/tests/soak/backendworld.cpp
+++ b/tests/soak/backendworld.cpp
@@ -73,6 +73,15 @@
     done.get_future().wait();
 }
 
+Endpoint BackendWorld::storeAddress()
+{
+    Endpoint address;
+    this->perform([&] {
+        address = this->store->boundAddress();
+    });
+    return address;
+}
+
 CallerWorld BackendWorld::describe() const
 {
     CallerWorld world;
--- a/tests/soak/backendworld.h
+++ b/tests/soak/backendworld.h
@@ -42,6 +42,9 @@
         return *this->store;
     }
 
+    /// Returns the address of the store. Precondition: not called on the thread of the stand-ins.
+    Endpoint storeAddress();
+
     /// Returns what callers need to know, but for the hosts. Precondition: none.
     CallerWorld describe() const;
 
--- a/tests/soak/gatewayfleet.cpp
+++ b/tests/soak/gatewayfleet.cpp
@@ -10,6 +10,7 @@
 #include <future>
 #include <iostream>
 #include <stdexcept>
+#include <thread>
 
 #include <sys/resource.h>
 #include <unistd.h>
@@ -24,6 +25,7 @@
 static constexpr int PeerPort = 7360;
 
 static constexpr std::chrono::milliseconds ReadinessTimeout{300};
+static constexpr std::chrono::milliseconds ReadinessInterval{20};
 
 static std::string endpointOf(const std::string &ip, int port)
 {
@@ -172,6 +174,29 @@
     return connection.call("GET", "/-/readyz", "", "", ReadinessTimeout).status == 200;
 }
 
+bool GatewayFleet::waitUntilReady(std::chrono::milliseconds timeout) const
+{
+    const auto until = std::chrono::steady_clock::now() + timeout;
+    for (int host = 0; host < this->hostCount(); ++host) {
+        while (!this->isReady(host)) {
+            if (std::chrono::steady_clock::now() > until) {
+                return false;
+            }
+            std::this_thread::sleep_for(ReadinessInterval);
+        }
+    }
+    return true;
+}
+
+CallerWorld GatewayFleet::withHosts(CallerWorld world) const
+{
+    world.directories = this->directoryAddresses();
+    world.hostOf = [this](const std::string &address) {
+        return this->hostOf(address);
+    };
+    return world;
+}
+
 FaultProxy &GatewayFleet::storeLink(int host)
 {
     return *this->hosts[static_cast<std::size_t>(host)].storeLink;
--- a/tests/soak/gatewayfleet.h
+++ b/tests/soak/gatewayfleet.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "callers.h"
 #include "faultproxy.h"
 #include "history.h"
 
 #include "../fleet/process.h"
 
+#include <chrono>
 #include <filesystem>
 #include <memory>
 #include <optional>
@@ -64,6 +66,12 @@
     /// Returns whether a host says that it is ready. Precondition: none.
     bool isReady(int host) const;
 
+    /// Waits until all hosts are ready, for at most \p timeout; returns whether they are. Precondition: none.
+    bool waitUntilReady(std::chrono::milliseconds timeout) const;
+
+    /// Returns \p world with the addresses of the hosts. Precondition: the fleet outlives the result.
+    CallerWorld withHosts(CallerWorld world) const;
+
     /// Returns the link from a host to the store; used on the thread of the io_context. Precondition: none.
     FaultProxy &storeLink(int host);
 
--- a/tests/soak/lateingracetest.cpp
+++ b/tests/soak/lateingracetest.cpp
@@ -44,11 +44,7 @@
 TEST_CASE("requests that come late in the grace of a planned stop are cut without an answer")
 {
     BackendWorld backend(7);
-    Endpoint store;
-    backend.perform([&] {
-        store = backend.rowStore().boundAddress();
-    });
-    GatewayFleet fleet(backend.ioContext(), store, 7);
+    GatewayFleet fleet(backend.ioContext(), backend.storeAddress(), 7);
     const auto readyBy = steady_clock::now() + ReadyBound;
     while (!fleet.isReady(0)) {
         REQUIRE(steady_clock::now() < readyBy);
--- a/tests/soak/replicationtest.cpp
+++ b/tests/soak/replicationtest.cpp
@@ -56,7 +56,7 @@
 {
 public:
     explicit ReplicationRun(std::uint64_t runSeed)
-        : seed(runSeed), random(runSeed), backend(runSeed), fleet(backend.ioContext(), this->storeAddress(), runSeed, layoutOf())
+        : seed(runSeed), random(runSeed), backend(runSeed), fleet(backend.ioContext(), backend.storeAddress(), runSeed, layoutOf())
     {
         const auto count = static_cast<std::size_t>(this->fleet.hostCount());
         this->pausedUntil.resize(count);
@@ -67,11 +67,7 @@
         if (const char *const cores = std::getenv("RHUBARBTILLER_HOST_CORES")) {
             this->limit.emplace(this->fleet, std::stod(cores));
         }
-        this->callerWorld = this->backend.describe();
-        this->callerWorld.directories = this->fleet.directoryAddresses();
-        this->callerWorld.hostOf = [this](const std::string &address) {
-            return this->fleet.hostOf(address);
-        };
+        this->callerWorld = this->fleet.withHosts(this->backend.describe());
     }
 
     /// Returns the broken promises.
@@ -150,15 +146,6 @@
         return layout;
     }
 
-    Endpoint storeAddress()
-    {
-        Endpoint address;
-        this->backend.perform([&] {
-            address = this->backend.rowStore().boundAddress();
-        });
-        return address;
-    }
-
     bool isCalm(int host, SoakTime from, SoakTime to) const
     {
         return std::none_of(this->disturbances.begin(), this->disturbances.end(), [&](const Disturbance &each) {
--- a/tests/soak/rollouttest.cpp
+++ b/tests/soak/rollouttest.cpp
@@ -78,23 +78,10 @@
 static Result play(ServerFault fault, double share)
 {
     BackendWorld backend(7);
-    Endpoint store;
-    backend.perform([&] {
-        store = backend.rowStore().boundAddress();
-    });
+    const auto store = backend.storeAddress();
     GatewayFleet fleet(backend.ioContext(), store, 7);
-    const auto readyBy = steady_clock::now() + ReadyBound;
-    for (int host = 0; host < fleet.hostCount(); ++host) {
-        while (!fleet.isReady(host)) {
-            REQUIRE(steady_clock::now() < readyBy);
-            std::this_thread::sleep_for(PollInterval);
-        }
-    }
-    auto world = backend.describe();
-    world.directories = fleet.directoryAddresses();
-    world.hostOf = [&fleet](const std::string &address) {
-        return fleet.hostOf(address);
-    };
+    REQUIRE(fleet.waitUntilReady(ReadyBound));
+    const auto world = fleet.withHosts(backend.describe());
     Callers callers(world, CallerCount, 7);
     std::this_thread::sleep_for(Warming);
     const auto orderedAt = steady_clock::now();
--- a/tests/soak/soaktest.cpp
+++ b/tests/soak/soaktest.cpp
@@ -72,25 +72,17 @@
 {
 public:
     explicit SoakRun(std::uint64_t runSeed)
-        : seed(runSeed), random(runSeed), backend(runSeed), fleet(backend.ioContext(), this->storeAddress(), runSeed)
+        : seed(runSeed), random(runSeed), backend(runSeed), fleet(backend.ioContext(), backend.storeAddress(), runSeed)
     {
         this->expectedEnds.resize(this->hostCount());
-        this->callerWorld = this->backend.describe();
-        this->callerWorld.directories = this->fleet.directoryAddresses();
-        this->callerWorld.hostOf = [this](const std::string &address) {
-            return this->fleet.hostOf(address);
-        };
+        this->callerWorld = this->fleet.withHosts(this->backend.describe());
     }
 
     /// Returns the broken promises.
     std::vector<std::string> run()
     {
-        const auto readyBy = steady_clock::now() + ReadyBound;
-        while (!this->areAllReady()) {
-            if (steady_clock::now() > readyBy) {
-                return this->failed("ready: not all hosts are ready after " + std::to_string(ReadyBound.count()) + " ms");
-            }
-            std::this_thread::sleep_for(PollInterval);
+        if (!this->fleet.waitUntilReady(ReadyBound)) {
+            return this->failed("ready: not all hosts are ready after " + std::to_string(ReadyBound.count()) + " ms");
         }
         Callers callers(this->callerWorld, CallerCount, this->random());
         this->planFaults();
@@ -125,15 +117,6 @@
 private:
     using Action = std::function<void()>;
 
-    Endpoint storeAddress()
-    {
-        Endpoint address;
-        this->backend.perform([&] {
-            address = this->backend.rowStore().boundAddress();
-        });
-        return address;
-    }
-
     std::vector<std::string> failed(const std::string &line)
     {
         return this->failed(std::vector<std::string>{line});
@@ -145,16 +128,6 @@
         return lines;
     }
 
-    bool areAllReady()
-    {
-        for (int host = 0; host < this->fleet.hostCount(); ++host) {
-            if (!this->fleet.isReady(host)) {
-                return false;
-            }
-        }
-        return true;
-    }
-
     bool areAllRunning()
     {
         for (int host = 0; host < this->fleet.hostCount(); ++host) {
--- a/tests/soak/storereturntest.cpp
+++ b/tests/soak/storereturntest.cpp
@@ -25,23 +25,9 @@
 TEST_CASE("a store that returns from an older copy leaves hosts with an outdated state")
 {
     BackendWorld backend(11);
-    Endpoint store;
-    backend.perform([&] {
-        store = backend.rowStore().boundAddress();
-    });
-    GatewayFleet fleet(backend.ioContext(), store, 11);
-    const auto readyBy = steady_clock::now() + ReadyBound;
-    for (int host = 0; host < fleet.hostCount(); ++host) {
-        while (!fleet.isReady(host)) {
-            REQUIRE(steady_clock::now() < readyBy);
-            std::this_thread::sleep_for(20ms);
-        }
-    }
-    auto world = backend.describe();
-    world.directories = fleet.directoryAddresses();
-    world.hostOf = [&fleet](const std::string &address) {
-        return fleet.hostOf(address);
-    };
+    GatewayFleet fleet(backend.ioContext(), backend.storeAddress(), 11);
+    REQUIRE(fleet.waitUntilReady(ReadyBound));
+    const auto world = fleet.withHosts(backend.describe());
     Callers callers(world, CallerCount, 11);
     std::this_thread::sleep_for(1s);
     backend.copyStore();
